--- /dev/null
+++ b/pierglade/__init__.py
@@ -0,0 +1,1 @@
+"""pierglade: a load-balancing proxy that rotates around forecast pauses."""
--- /dev/null
+++ b/pierglade/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The bench's wire: hosts many independent nodes in one process. Decides nothing."""
--- /dev/null
+++ b/pierglade/benchlink/link.py
@@ -0,0 +1,225 @@
+"""Reads the wire's messages into calls on the decisions, and writes the decisions as messages.
+
+The wire counts microseconds; the decisions count whole tenths of a millisecond. Clock and limits round
+down, spans that must have passed round up, so no limit is ever seen later than it is.
+"""
+
+import orjson
+
+from pierglade import records as r
+from pierglade.choice import Node
+
+OUTCOMES = {"success": r.SETTLED, "failure": r.ERROR, "overloaded": r.TURNED_AWAY, "timed_out": r.TIMED_OUT,
+            "unreachable": r.UNREACHABLE, "broken": r.BROKEN, "withdrawn": r.CALLED_OFF, "void": r.NEVER_SENT}
+STATES = {"Ready": r.READY, "Terminating": r.DRAINING, "Gone": r.GONE}
+REPEATS = {"free": r.HARMLESS, "guarded": r.STAMPED, "single_shot": r.ONE_SHOT}
+MARK_REPEAT = 2
+
+
+class Malformed(Exception):
+    """A message that the wire's description does not allow."""
+
+
+def down(us):
+    return int(us) // 100
+
+
+def up(us):
+    return -(-int(us) // 100)
+
+
+def terms_from(conf):
+    """The settings in our words; keys that are not known are skipped."""
+    offerings = [
+        r.Offering(i, o["name"], REPEATS[o["idempotency"]], o.get("group") or "all",
+                   down(o.get("repeatWindowUs") or 0), down(o["expectedTimeUs"]), down(o["hardLimitUs"]),
+                   float(o.get("credit", 1)), bool(o.get("stream")))
+        for i, o in enumerate(conf["offerings"])]
+    members = [r.Member(m["name"], float(m.get("quotaPerS") or 0)) for m in conf.get("customers") or []]
+    limits, contract = conf["limits"], conf["contract"]
+    return r.Terms(
+        offerings=offerings, members=members, me=conf.get("me") or 0, nodes=max(1, conf.get("siblings") or 1),
+        most_trips=limits.get("mostTrips") or 1, may_cancel=bool(limits.get("mayCancel")),
+        may_probe=bool(limits.get("probes")), may_copy=bool(limits.get("secondCopies")),
+        retry_after=down(limits.get("maxRetryAfterUs") or 0) if limits.get("retryAfter") else 0,
+        drain_grace=down(contract.get("drainGraceUs") or 0), cold_for=up(contract.get("coldUs") or 0),
+        cold_from=float(contract.get("startCapacity") or 1), tip_multiple=float(contract.get("tipMultiple") or 1),
+        tip_window=up(contract.get("fallUs") or 0))
+
+
+class Seat:
+    """One node and the ids by which the wire knows what it holds."""
+
+    def __init__(self, seed, conf, now):
+        self.terms = terms_from(conf)
+        self.node = Node(seed, self.terms, now)
+        self.offerings = {o.name: o for o in self.terms.offerings}
+        self.members = {m.name: m for m in self.terms.members}
+        self.calls = {}
+        self.subscribe = conf.get("membershipMode") == "ask"
+        self.timer = None
+
+    def drop_if_over(self, invocation):
+        if invocation.over and not invocation.out:
+            self.calls.pop(invocation.mark, None)
+
+
+class Link:
+    """The process: one line in at a time, a reply after each batch."""
+
+    def __init__(self, out):
+        self.out = out
+        self.seats = {}
+        self.lists = {}
+        self.touched = {}
+        self.wall = self.now = 0
+        self.handlers = {
+            "Sync": self.sync, "OverToYou": self.reply, "Census": self.census, "Boot": self.boot,
+            "Discovery": self.discovery, "Incoming": self.incoming, "NeighbourSays": self.nothing,
+            "Kill": self.kill, "ClientGone": self.client_gone, "Ring": self.ring, "FirstByte": self.first_byte,
+            "PingResult": self.ping_result, "Completed": self.completed}
+
+    def read(self, line):
+        try:
+            message = orjson.loads(line)
+            (name, fields), = message.items()
+            handler = self.handlers[name]
+        except (ValueError, AttributeError, KeyError):
+            raise Malformed(f"not a message of the wire: {line[:120]!r}") from None
+        if not isinstance(fields, dict):
+            raise Malformed(f"{name} has no fields: {line[:120]!r}")
+        try:
+            handler(fields)
+        except (KeyError, TypeError, ValueError) as fault:
+            if name == "OverToYou":
+                raise
+            raise Malformed(f"{name} cannot be read ({fault!r}): {line[:120]!r}") from fault
+
+    def seat(self, fields):
+        who = fields["who"]
+        seat = self.seats.get(who)
+        if seat is not None:
+            self.touched[who] = seat
+        return seat
+
+    def sync(self, fields):
+        self.wall = fields["wallUs"]
+        self.now = self.wall // 100
+
+    def census(self, fields):
+        self.lists[fields["ref"]] = [
+            r.Listed(e["backend"], STATES[e["status"]], e.get("zone"), e.get("cluster"), e.get("familyType"),
+                     e.get("powerHint") or 1.0, down(e.get("sinceUs") or 0))
+            for e in fields["entries"]]
+
+    def boot(self, fields):
+        self.seats[fields["who"]] = Seat(fields["seed"], fields["conf"], self.now)
+        self.seat(fields)
+
+    def kill(self, fields):
+        self.seats.pop(fields["who"], None)
+        self.touched.pop(fields["who"], None)
+
+    def discovery(self, fields):
+        seat = self.seat(fields)
+        if seat is None:
+            return
+        if fields["scope"] == "unavailable":
+            seat.subscribe = True
+        else:
+            seat.node.listed(self.now, self.lists[fields["ref"]], fields["scope"] != "update")
+
+    def incoming(self, fields):
+        seat = self.seat(fields)
+        if seat is None:
+            return
+        offering = seat.offerings[fields["grade"]]
+        limit = (self.wall + fields["leftUs"]) // 100
+        invocation = r.Invocation(
+            fields["call"], offering, seat.members.get(fields.get("party")), self.now,
+            min(self.now + offering.expected, limit), limit, bool((fields.get("marks") or 0) & MARK_REPEAT))
+        seat.calls[invocation.mark] = invocation
+        seat.node.taken(self.now, invocation)
+
+    def client_gone(self, fields):
+        seat = self.seat(fields)
+        invocation = seat and seat.calls.get(fields["call"])
+        if invocation:
+            seat.node.abandoned(self.now, invocation)
+            seat.drop_if_over(invocation)
+
+    def trip(self, fields):
+        seat = self.seat(fields)
+        invocation = seat and seat.calls.get(fields["call"])
+        if invocation and 0 <= fields["sendNo"] < len(invocation.trips):
+            return seat, invocation.trips[fields["sendNo"]]
+        return seat, None
+
+    def completed(self, fields):
+        seat, trip = self.trip(fields)
+        if trip and trip.outcome is None:
+            seat.node.returned(self.now, trip, OUTCOMES[fields["reason"]], down(fields["durationUs"]),
+                               bool(fields["doneFlag"]))
+            seat.drop_if_over(trip.invocation)
+
+    def first_byte(self, fields):
+        seat, trip = self.trip(fields)
+        if trip:
+            seat.node.streaming(trip)
+
+    def ping_result(self, fields):
+        seat = self.seat(fields)
+        if seat:
+            seat.node.probed(self.now, fields["backend"], fields["reason"] == "success",
+                             down(fields["durationUs"]))
+
+    def ring(self, fields):
+        seat = self.seat(fields)
+        if seat and fields["mark"] == str(seat.timer):
+            seat.timer = None
+
+    def nothing(self, fields):
+        """A message that no decision uses."""
+
+    def reply(self, fields):
+        out = []
+        for who, seat in self.touched.items():
+            try:
+                self.pull(who, seat, out)
+            except Exception as fault:
+                out.append({"GiveIn": {"who": who, "bodyText": f"{type(fault).__name__}: {fault}"[:300]}})
+        self.touched = {}
+        out.append({"Done": {}})
+        self.out.write(b"\n".join(map(orjson.dumps, out)) + b"\n")
+        self.out.flush()
+
+    def pull(self, who, seat, out):
+        """Writes a node's decisions until it has none."""
+        node, now = seat.node, self.now
+        if seat.subscribe:
+            seat.subscribe = False
+            out.append({"Observe": {"who": who, "active": True}})
+        while (decision := node.decide(now)) is not None:
+            kind, subject = decision
+            if kind is r.SEND:
+                out.append({"SubmitTo": {"who": who, "call": subject.invocation.mark,
+                                         "backend": node.names[subject.backend],
+                                         "capUs": max(1, subject.until * 100 - self.wall)}})
+            elif kind is r.CALL_OFF:
+                out.append({"AbortAttempt": {"who": who, "call": subject.invocation.mark,
+                                             "sendNo": subject.number}})
+            elif kind is r.BOUNCE:
+                out.append({"Bounce": {"who": who, "call": subject.mark,
+                                       "coolDownUs": node.come_back_in(now) * 100}})
+                seat.drop_if_over(subject)
+            elif kind is r.GIVE_UP:
+                out.append({"RespondError": {"who": who, "call": subject.mark}})
+                seat.drop_if_over(subject)
+            elif kind is r.PROBE:
+                out.append({"Ping": {"who": who, "backend": node.names[subject]}})
+            else:
+                raise ValueError(f"no such decision: {kind}")
+        wake = node.wake(now)
+        if wake is not None and (seat.timer is None or wake < seat.timer):
+            seat.timer = wake
+            out.append({"Timer": {"who": who, "timeUs": wake * 100, "mark": str(wake)}})
--- /dev/null
+++ b/pierglade/choice.py
@@ -0,0 +1,577 @@
+"""All decisions of a pierglade node: rotation around forecast pauses.
+
+How it is called: a host makes one Node for each balancer, with a seed and the Terms of its deployment.
+Whatever comes in is told at once by `listed`, `taken`, `returned`, `streaming`, `abandoned` and `probed`;
+these only update what is known. The host then pulls `decide(now)` until it answers None, carries each
+decision out, and calls again no later than `wake(now)`. A decision is a pair of a kind and its subject.
+The types of this interface, and the kinds, are in `pierglade/records.py`; docs/design.md has the reasons.
+"""
+
+import random
+from collections import deque
+from heapq import heappop, heappush
+
+from pierglade.records import (
+    BOUNCE, CALL_OFF, CALLED_OFF, GIVE_UP, GONE, HARMLESS, NEVER_RAN, NEVER_SENT, ONE_SHOT, PROBE, READY, SEND,
+    SETTLED, STAMPED, TURNED_AWAY, UNREACHABLE, Trip)
+
+# Constants. Times are tenths of a millisecond.
+WINDOW_LOW, WINDOW_MEDIUM, WINDOW_HIGH = 3000, 300, 30   # samples; the design's forecast windows by band
+BAND_LOW, BAND_HIGH = 0.1, 1.0  # coefficient of variation; the design's band bounds
+PAUSES_KEPT = 30        # pauses; enough to tell a band, few enough to follow a change within a minute
+PAUSES_NEEDED = 3       # pauses; two make a line, the third can contradict it
+LONGEST_PAUSE = 15000   # 1.5 s; a longer stretch is an outage and teaches the forecast nothing
+FIRST_PAUSE = 2000      # 200 ms; mean pause assumed before one was seen, that of a long collection
+FAR = 2.5               # times; quick latency this far above its smoothed level is a pause, over a spread-out tail
+GOOD = 2.0              # times; an answer within this of the level ends a pause, under FAR so it cannot flap
+RATIO_CAP = 6.0         # times; one answer counts as no slower, so that one heavy invocation is no pause
+QUICK, LEVEL = 1 / 4, 1 / 32    # shares of a new answer in the quick and in the smoothed level
+TYPICAL = 1 / 24        # share of a new answer in an offering's typical latency: about a second's worth at a node
+ERRORS = 0.3            # share of a new outcome in the error level
+ERRORS_BAD, ERRORS_GOOD = 0.4, 0.2  # levels; two errors in a row start an outage, three good answers end it
+SILENT = 5.0            # times typical, summed over the trips out; chance silence of a healthy backend is rarer
+SILENT_LEAST = 2.0      # times typical; one slow service must not look silent however many wait behind it
+TRIAL_GAP, TRIAL_GAP_MOST = 1500, 10000   # 150 ms, 1 s; from one trial to the next, doubled after each bad one
+CROWD = 1.5             # times the mean in flight; far more than chance piles up on one backend
+CROWD_FLOOR = 1.0       # trips; below this much over the mean nothing is crowded
+STRAIN = 0.6            # share of the expected time; answers slower than this mean that the fleet is filling up
+STRAINED = 0.15         # share of answers that may be so slow before fewer trips are let out
+LIMIT_STEP = 0.5        # trips; how fast the limit on trips out follows
+LIMIT_FIRST = 4.0       # trips a backend; before anything was learned
+EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
+EXTRA_MOST = 20.0       # further trips saved up, for a burst of losses when a backend dies
+HOPELESS = 0.5          # times typical; with less time than this left an invocation will not make it
+PATIENCE = 0.3          # share of the expected time; an oldest held wait beyond it is overload
+COLD_MARGIN = 0.6       # share of the cold budget used; the rest is for uneven nodes, machines and work
+COLD_BURST = 1.5        # trips saved up for a cold backend
+SHARE_OVER = 2000       # 0.2 s in tenths; kept short of a second so that a burst shows
+RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
+SWEEP = 500             # 50 ms; looking for silence costs little at this pace and finds it within one answer
+FORGET = 600000         # 60 s; a gone backend's index is used again after this, beyond any hard limit
+COME_BACK = 5000        # 0.5 s; advice to a bounced client under overload, the time a burst takes to pass
+
+# Why a backend takes trials only.
+SLOW, SILENCE, FAILING = "slow", "silent", "failing"
+
+
+class Node:
+    """One balancer: what it knows of its backends, and what it holds."""
+
+    def __init__(self, seed, terms, now):
+        self.terms = terms
+        chance = random.Random(seed)
+        self.pick = chance.randrange
+        self.trial_kinds = (HARMLESS,) if any(o.repeats == HARMLESS for o in terms.offerings) else (STAMPED,)
+        # What differs by offering, a row each.
+        self.typical = [0.0 for _ in terms.offerings]
+        # What is known of each backend, under a dense index.
+        self.index = {}
+        self.names, self.state, self.zone, self.cell = [], [], [], []
+        self.started, self.left_at, self.cold_until = [], [], []
+        self.allowance, self.allowed_at = [], []
+        self.out, self.last_answer = [], []
+        self.quick, self.level, self.errors = [], [], []
+        self.trouble, self.since, self.until = [], [], []
+        self.trial_at, self.trial_gap, self.trial_due, self.trials_out = [], [], [], []
+        self.work, self.samples, self.sums, self.window = [], [], [], []
+        self.pauses, self.mean_pause, self.forecast = [], [], []
+        # The rotation.
+        self.turn, self.at = [], 0
+        self.slow_ones = 0
+        # What is held and out.
+        self.held = []              # heap of (moment of the expected time, count, invocation)
+        self.line = deque()         # the same in order of arrival, some already gone
+        self.count = 0
+        self.again = []             # invocations that wait for a further trip
+        self.finals = deque()       # decisions already made
+        self.probes = deque()
+        self.busy = 0               # trips out on backends without trouble
+        self.limit = None           # how many of those there may be
+        self.extra = EXTRA_MOST
+        self.between = 10000.0      # smoothed time between sends
+        self.last_send = now
+        self.overloaded = False
+        self.sweep_at = now + SWEEP
+
+    # Inputs: they update what is known.
+
+    def listed(self, now, entries, whole):
+        """The list's word on all backends, or on the changed ones."""
+        if whole:
+            named = {e.name for e in entries}
+            for name, b in self.index.items():
+                if name not in named:
+                    self._leave(b, GONE, now)
+        for e in entries:
+            b = self.index.get(e.name)
+            if b is None:
+                if e.state != READY:
+                    continue
+                b = self._new_index(e.name, now)
+            self.zone[b], self.cell[b] = e.zone, e.cell
+            if e.state != READY:
+                self._leave(b, e.state, now)
+                continue
+            if e.started > self.started[b]:
+                # A process that has just started is cold until its time is up, whoever else sends to it.
+                self.started[b] = e.started
+                self.cold_until[b] = e.started + self.terms.cold_for
+                self.allowance[b], self.allowed_at[b] = 0.0, now
+                self._forget_history(b)
+            if self.state[b] != READY:
+                self.state[b] = READY
+                # Rotations start at random, and so does each newcomer's place in them.
+                place = self.pick(len(self.turn) + 1)
+                self.turn.insert(place, b)
+                if place < self.at:
+                    self.at += 1
+        if self.limit is None and self.turn:
+            self.limit = LIMIT_FIRST * len(self.turn)
+            self.at = self.pick(len(self.turn))
+
+    def taken(self, now, invocation):
+        """An invocation has come in; from here on it is owed one final answer."""
+        self.extra = min(EXTRA_MOST, self.extra + EXTRA_SHARE)
+        member = invocation.member
+        if member is not None:
+            member.rate = member.rate * max(0.0, 1 - (now - member.seen) / RATE_SPAN) + 1
+            member.seen = now
+        invocation.held = now
+        self.count += 1
+        # By expected time, not by arrival: a client's repeat has less time left than those taken before it.
+        heappush(self.held, (invocation.expected, self.count, invocation))
+        self.line.append(invocation)
+
+    def returned(self, now, trip, outcome, took, done):
+        """A trip has ended."""
+        invocation, b = trip.invocation, trip.backend
+        trip.outcome = outcome
+        invocation.out -= 1
+        del self.out[b][trip]
+        if self.trouble[b] is None:
+            self.busy -= 1
+        if trip.trial:
+            self.trials_out[b] -= 1
+        if outcome in NEVER_RAN and invocation.risky is trip:
+            invocation.risky = next((t for t in invocation.trips if t.outcome not in NEVER_RAN), None)
+        self._learn(now, trip, outcome, took)
+        if invocation.over:
+            return
+        if done:
+            invocation.over = True
+            self._call_off_rest(invocation)
+        elif not invocation.out:
+            self._after_loss(now, invocation, outcome)
+
+    def streaming(self, trip):
+        """The answer has started; the trip belongs to the client."""
+        trip.called_off = trip.invocation.over = True
+
+    def abandoned(self, now, invocation):
+        """The client has gone; no answer is owed."""
+        if not invocation.over:
+            invocation.over = True
+            self._call_off_rest(invocation)
+
+    def probed(self, now, name, good, took):
+        """A probe's result. It proves no more than a running process, so it only admits a trial trip."""
+        b = self.index.get(name)
+        if b is None or self.trouble[b] is None:
+            return
+        if good:
+            self.trial_due[b] = True
+        else:
+            self._next_trial(b, now, worse=True)
+
+    # Decisions: the host pulls them one by one.
+
+    def decide(self, now):
+        """The next decision as (kind, subject), or None."""
+        if now >= self.sweep_at:
+            self._sweep(now)
+        if self.finals:
+            return self.finals.popleft()
+        for invocation in self.again:
+            if invocation.over:
+                self.again.remove(invocation)
+                return self.decide(now)
+            if self._hopeless(invocation, now):
+                self.again.remove(invocation)
+                return self._final(invocation)
+            b = self._choose(invocation, now)
+            if b is not None:
+                self.again.remove(invocation)
+                return self._send(invocation, b, now)
+        while self.held:
+            invocation = self.held[0][2]
+            if invocation.over:
+                heappop(self.held)
+            elif self._hopeless(invocation, now):
+                heappop(self.held)
+                return self._final(invocation)
+            else:
+                b = self._choose(invocation, now) if self.limit is not None and self.busy < self.limit else None
+                if b is None:
+                    break
+                heappop(self.held)
+                return self._send(invocation, b, now)
+        if self.probes:
+            return PROBE, self.probes.popleft()
+        return None
+
+    def wake(self, now):
+        """When to call decide again, if nothing comes in before."""
+        if self.busy or self.again or self.held or any(t is not None for t in self.trouble):
+            return max(self.sweep_at, now + 1)
+        return None
+
+    def come_back_in(self, now):
+        """Advice to a bounced client; 0 where there is none to give."""
+        return min(COME_BACK, self.terms.retry_after) if self.overloaded else 0
+
+    # What an invocation may still do.
+
+    def _may_send(self, invocation, b, now):
+        """Rule 2 in one place: may this invocation go to this backend, after what its trips have proved?"""
+        if now >= invocation.limit or len(invocation.trips) >= self.terms.most_trips or invocation.out:
+            return False
+        risky = invocation.risky
+        if risky is None or invocation.offering.repeats == HARMLESS:
+            return True
+        if invocation.offering.repeats == ONE_SHOT or now >= risky.sent + invocation.offering.window:
+            return False
+        group = invocation.offering.group
+        return (group == "all" or group == "zone" and self.zone[b] == self.zone[risky.backend]
+                or group == "cell" and self.cell[b] == self.cell[risky.backend])
+
+    def _may_bounce(self, invocation):
+        """A bounce promises that trying again is harmless."""
+        return (invocation.risky is None or invocation.offering.repeats == HARMLESS
+                or invocation.offering.repeats == STAMPED and invocation.offering.group == "all")
+
+    def _final(self, invocation):
+        invocation.over = True
+        return BOUNCE if self._may_bounce(invocation) else GIVE_UP, invocation
+
+    def _hopeless(self, invocation, now):
+        return now + HOPELESS * self.typical[invocation.offering.index] >= invocation.expected
+
+    def _after_loss(self, now, invocation, outcome):
+        """A trip came to nothing: a further one, or the final answer at once."""
+        may = (self.extra >= 1 and not self._hopeless(invocation, now) and outcome != NEVER_SENT
+               and any(self._may_send(invocation, b, now) for b in self.turn))
+        if may:
+            self.extra -= 1
+            invocation.held = now
+            self.again.append(invocation)
+        else:
+            self.finals.append(self._final(invocation))
+
+    def _call_off_rest(self, invocation):
+        for trip in invocation.trips:
+            self._call_off(trip)
+
+    def _call_off(self, trip):
+        if trip.outcome is None and not trip.called_off and self.terms.may_cancel:
+            trip.called_off = True
+            self.finals.append((CALL_OFF, trip))
+
+    # Holding.
+
+    def _relieve(self, now):
+        """Overload is told by the oldest held wait; what members ask beyond their share goes first."""
+        line = self.line
+        while line and (line[0].over or line[0].trips):
+            line.popleft()
+        self.overloaded = bool(line) and now - line[0].held > PATIENCE * line[0].offering.expected
+        if self.overloaded:
+            for invocation in line:
+                if not (invocation.over or invocation.trips) and self._over_share(invocation.member, now):
+                    self.finals.append(self._final(invocation))
+
+    def _over_share(self, member, now):
+        if member is None or not member.per_second:
+            return False
+        rate = member.rate * max(0.0, 1 - (now - member.seen) / RATE_SPAN) / (RATE_SPAN / 10000)
+        return rate * self.terms.nodes > member.per_second
+
+    # The rotation.
+
+    def _choose(self, invocation, now):
+        """The next in turn that nothing speaks against; the first that may take it if all are skipped."""
+        turn, at, fallback = self.turn, self.at, None
+        count = len(turn)
+        for step in range(count):
+            place = at + step
+            if place >= count:
+                place -= count
+            b = turn[place]
+            skip = self._skip(invocation, b, now)
+            if skip is None:
+                self.at = place + 1 if place + 1 < count else 0
+                return b
+            if fallback is None and skip in ("forecast", SLOW, "tried", "crowded"):
+                fallback = place
+        if fallback is None:
+            return None
+        self.at = fallback + 1 if fallback + 1 < count else 0
+        return turn[fallback]
+
+    def _skip(self, invocation, b, now):
+        """Why the next in turn is passed over, or None."""
+        if invocation.trips:
+            if not self._may_send(invocation, b, now):
+                return "may not"
+            if any(t.backend == b for t in invocation.trips):
+                return "tried"
+        if now < self.cold_until[b] and not self._cold_allows(b, now):
+            return "cold"
+        trouble = self.trouble[b]
+        if trouble is not None and not self._is_trial(invocation, b):
+            if trouble is not SLOW:
+                return trouble
+            # Shared trouble: when most backends are slow at once, skipping them all helps nobody.
+            if self.slow_ones * 2 <= len(self.turn) and now < self.until[b]:
+                return SLOW
+        if len(self.out[b]) >= CROWD_FLOOR + CROWD * self.busy / len(self.turn):
+            return "crowded"
+        forecast = self.forecast[b]
+        if forecast is not None:
+            threshold = self.typical[invocation.offering.index] * self.level[b]
+            if forecast - threshold <= now:
+                if now <= forecast + self.mean_pause[b]:
+                    return "forecast"
+                # No pause came: the forecast is set aside until one does, so it cannot starve the backend.
+                self.forecast[b] = None
+        return None
+
+    def _is_trial(self, invocation, b):
+        return self.trial_due[b] and not self.trials_out[b] and invocation.offering.repeats in self.trial_kinds
+
+    def _cold_allows(self, b, now):
+        """Rule 4: this node's part of what a cold backend may be sent, from what warm ones are sent."""
+        terms = self.terms
+        warm = sum(1 for other in self.turn if now >= self.cold_until[other]) or len(self.turn)
+        age = max(0, now - self.started[b])
+        capacity = min(1.0, terms.cold_from + (1 - terms.cold_from) * age / max(1, terms.cold_for))
+        pace = COLD_MARGIN * min(1.0, terms.tip_multiple * capacity) / (max(self.between, 1.0) * warm)
+        self.allowance[b] = min(COLD_BURST, self.allowance[b] + pace * (now - self.allowed_at[b]))
+        self.allowed_at[b] = now
+        return self.allowance[b] >= 1
+
+    def _send(self, invocation, b, now):
+        trip = Trip(invocation, len(invocation.trips), b, now, invocation.limit)
+        if self.trouble[b] is None:
+            self.busy += 1
+        elif self._is_trial(invocation, b):
+            trip.trial = True
+            self.trials_out[b] += 1
+            self._next_trial(b, now)
+        if now < self.cold_until[b]:
+            self.allowance[b] -= 1
+        else:
+            self.between += (min(now - self.last_send, 10000) - self.between) * TYPICAL
+            self.last_send = now
+        self.out[b][trip] = None
+        invocation.trips.append(trip)
+        invocation.out += 1
+        if invocation.risky is None:
+            invocation.risky = trip
+        return SEND, trip
+
+    # Server health.
+
+    def _learn(self, now, trip, outcome, took):
+        b, o = trip.backend, trip.invocation.offering.index
+        if outcome == SETTLED:
+            self.last_answer[b] = now
+            self.errors[b] *= 1 - ERRORS
+            typical = self.typical[o]
+            ratio = min(RATIO_CAP, took / typical) if typical else 1.0
+            self.quick[b] += (ratio - self.quick[b]) * QUICK
+            level = max(self.level[b], 1.0)
+            if self.trouble[b] is None:
+                self.typical[o] = typical + (took - typical) * TYPICAL if typical else float(took)
+                self.level[b] += (ratio - self.level[b]) * LEVEL
+                self._sample(b, now)
+                self._follow_strain(trip, now)
+                if self.quick[b] > FAR * level:
+                    self._begin(b, SLOW, now)
+            elif trip.sent < self.since[b]:
+                pass    # An answer from before the trouble says nothing about its end.
+            elif ratio <= GOOD * level and self.errors[b] <= ERRORS_GOOD:
+                self._end(b, now)
+            else:
+                self.trial_due[b] = self.trouble[b] is FAILING
+        elif outcome == CALLED_OFF or outcome == NEVER_SENT:
+            pass
+        elif outcome == TURNED_AWAY:
+            self.last_answer[b] = now
+        else:
+            self.errors[b] += (1 - self.errors[b]) * ERRORS
+            if outcome == UNREACHABLE or self.errors[b] >= ERRORS_BAD:
+                self._begin(b, FAILING, now)
+                if trip.trial:
+                    self._next_trial(b, now, worse=True)
+
+    def _follow_strain(self, trip, now):
+        """Fewer trips out when too many answers come close to their expected time, more when few do."""
+        invocation = trip.invocation
+        if now - trip.sent > STRAIN * invocation.offering.expected:
+            self.limit = max(len(self.turn) / 2, 2.0, self.limit - LIMIT_STEP * (1 - STRAINED))
+        elif self.busy + 2 >= self.limit:
+            self.limit += LIMIT_STEP * STRAINED
+
+    def _begin(self, b, why, now):
+        if self.trouble[b] is None:
+            self.busy -= len(self.out[b])
+            self.since[b] = now
+            self.until[b] = now + self.mean_pause[b]
+            self.trial_gap[b] = TRIAL_GAP
+            self.trial_at[b] = now + TRIAL_GAP
+            self.trial_due[b] = False
+        elif self.trouble[b] is SLOW:
+            self.slow_ones -= 1
+        self.trouble[b] = why
+        if why is SLOW:
+            self.slow_ones += 1
+
+    def _end(self, b, now):
+        if self.trouble[b] is SLOW:
+            self.slow_ones -= 1
+        self.trouble[b] = None
+        self.busy += len(self.out[b])
+        self.quick[b] = min(self.quick[b], max(self.level[b], 1.0))
+        self.errors[b] = 0.0
+        lasted = now - self.since[b]
+        # Hangs, deaths and quick errors last longer than pauses; kept out, they cannot skew the forecast.
+        if lasted <= LONGEST_PAUSE:
+            self._pause(b, lasted)
+
+    def _next_trial(self, b, now, worse=False):
+        if worse:
+            self.trial_gap[b] = min(TRIAL_GAP_MOST, self.trial_gap[b] * 2)
+        self.trial_due[b] = False
+        self.trial_at[b] = now + self.trial_gap[b]
+
+    def _sweep(self, now):
+        self.sweep_at = now + SWEEP
+        self._relieve(now)
+        for b in range(len(self.names)):
+            if self.out[b]:
+                self._listen(b, now)
+            if self.trouble[b] is not None and self.state[b] == READY:
+                if self.trouble[b] is SLOW and now >= self.until[b] + self.mean_pause[b]:
+                    self._end(b, now)
+                elif not self.trial_due[b] and now >= self.trial_at[b] and not self.trials_out[b]:
+                    self._next_trial(b, now)
+                    if self.terms.may_probe and self.trouble[b] is not SLOW:
+                        self.probes.append(b)
+                    else:
+                        self.trial_due[b] = True
+
+    def _listen(self, b, now):
+        """A backend that answers nothing for long, with trips out, is silent; what may be is sent elsewhere."""
+        trips = self.out[b]
+        oldest = next(iter(trips))
+        quiet = now - max(self.last_answer[b], oldest.sent)
+        typical = self.typical[oldest.invocation.offering.index] * max(self.level[b], 1.0)
+        if not typical or quiet < SILENT_LEAST * typical or quiet * len(trips) < SILENT * typical:
+            return
+        if self.trouble[b] is not SILENCE:
+            self._begin(b, SILENCE, now)
+        for trip in list(trips):
+            invocation = trip.invocation
+            if trip.trial and now - trip.sent > SILENT * typical:
+                self._next_trial(b, now, worse=True)
+            if (invocation.offering.repeats != ONE_SHOT and not trip.called_off and not invocation.over
+                    and now - trip.sent > SILENT_LEAST * typical and self.extra >= 1
+                    and not self._hopeless(invocation, now) and len(invocation.trips) < self.terms.most_trips):
+                self._call_off(trip)
+
+    # The forecast: two regressions, one from pause to work, one from work to time.
+
+    def _sample(self, b, now):
+        self.work[b] += 1
+        work, samples, sums = self.work[b], self.samples[b], self.sums[b]
+        samples.append((work, now))
+        sums[0] += work
+        sums[1] += now
+        sums[2] += work * work
+        sums[3] += work * now
+        while len(samples) > self.window[b]:
+            old_work, old_now = samples.popleft()
+            sums[0] -= old_work
+            sums[1] -= old_now
+            sums[2] -= old_work * old_work
+            sums[3] -= old_work * old_now
+
+    def _pause(self, b, lasted):
+        """A pause has ended: it enters the regressions, the band is checked, the next one is forecast."""
+        self.mean_pause[b] += (lasted - self.mean_pause[b]) / 4
+        pauses = self.pauses[b]
+        pauses.append(self.work[b])
+        self.forecast[b] = None
+        if len(pauses) < PAUSES_NEEDED:
+            return
+        gaps = [after - before for before, after in zip(pauses, list(pauses)[1:])]
+        mean = sum(gaps) / len(gaps)
+        spread = (sum((gap - mean) ** 2 for gap in gaps) / len(gaps)) ** 0.5
+        varies = spread / mean if mean else BAND_HIGH
+        self.window[b] = (WINDOW_LOW if varies <= BAND_LOW else
+                          WINDOW_HIGH if varies >= BAND_HIGH else WINDOW_MEDIUM)
+        count = len(pauses)
+        numbers, total = count * (count - 1) // 2, sum(pauses)
+        slope = ((count * sum(n * w for n, w in enumerate(pauses)) - numbers * total)
+                 / (count * sum(n * n for n in range(count)) - numbers * numbers))
+        work_then = (total - slope * numbers) / count + slope * count
+        count = len(self.samples[b])
+        works, times, squares, products = self.sums[b]
+        ground = count * squares - works * works
+        if ground > 0:
+            slope = (count * products - works * times) / ground
+            self.forecast[b] = int((times - slope * works) / count + slope * work_then)
+
+    # The list.
+
+    def _new_index(self, name, now):
+        for b, state in enumerate(self.state):
+            if state == GONE and not self.out[b] and now - self.left_at[b] > FORGET:
+                del self.index[self.names[b]]
+                self.names[b] = name
+                break
+        else:
+            b = len(self.names)
+            for array, first in ((self.names, name), (self.state, GONE), (self.zone, None), (self.cell, None),
+                                 (self.started, 0), (self.left_at, now), (self.cold_until, 0),
+                                 (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
+                                 (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
+                                 (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
+                                 (self.trial_at, 0), (self.trial_gap, TRIAL_GAP), (self.trial_due, False),
+                                 (self.trials_out, 0), (self.work, 0), (self.samples, None), (self.sums, None),
+                                 (self.window, WINDOW_MEDIUM), (self.pauses, None),
+                                 (self.mean_pause, FIRST_PAUSE), (self.forecast, None)):
+                array.append(first)
+            self.out[b] = {}
+        self.index[name] = b
+        self.started[b] = 0
+        self._forget_history(b)
+        return b
+
+    def _forget_history(self, b):
+        """A process that has started anew pauses anew."""
+        self.work[b], self.samples[b], self.sums[b] = 0, deque(), [0, 0, 0, 0]
+        self.pauses[b], self.forecast[b] = deque(maxlen=PAUSES_KEPT), None
+        self.window[b], self.mean_pause[b] = WINDOW_MEDIUM, FIRST_PAUSE
+
+    def _leave(self, b, state, now):
+        """Rule 3: from the moment the list says that it drains or is gone, it is out of the rotation."""
+        if self.state[b] == READY:
+            place = self.turn.index(b)
+            del self.turn[place]
+            if place < self.at:
+                self.at -= 1
+            if self.at >= len(self.turn):
+                self.at = 0
+            self.left_at[b] = now
+        self.state[b] = state
--- /dev/null
+++ b/pierglade/records.py
@@ -0,0 +1,111 @@
+"""Plain types shared by the decisions and their hosts. No decision is made here.
+
+All moments and durations are whole tenths of a millisecond.
+"""
+
+from dataclasses import dataclass, field
+
+# What a repeat of an offering's invocation may do.
+HARMLESS, STAMPED, ONE_SHOT = "harmless", "stamped", "one-shot"
+
+# States of a backend on the list.
+READY, DRAINING, GONE = "ready", "draining", "gone"
+
+# How a trip ended.
+SETTLED = "settled"          # answered; the answer has gone to the client
+ERROR = "error"              # the backend answered with an error; it may have run
+TURNED_AWAY = "turned away"  # the backend sent it back unseen
+TIMED_OUT = "timed out"      # no answer in time; it may have run
+UNREACHABLE = "unreachable"  # no connection came up
+BROKEN = "broken"            # the connection broke; it may have run
+CALLED_OFF = "called off"    # we stopped waiting; it may have run
+NEVER_SENT = "never sent"    # the host did not send it
+
+NEVER_RAN = frozenset((TURNED_AWAY, UNREACHABLE, NEVER_SENT))
+
+# Kinds of decision that a host pulls.
+SEND, CALL_OFF, BOUNCE, GIVE_UP, PROBE = "send", "call off", "bounce", "give up", "probe"
+
+
+@dataclass(slots=True)
+class Offering:
+    """One row of the table of offerings."""
+    index: int
+    name: str
+    repeats: str        # HARMLESS, STAMPED or ONE_SHOT
+    group: str          # stamped: the backends that drop its repeats: "all", "zone" or "cell"
+    window: int         # stamped: how long they do, from the first trip that may have run
+    expected: int       # the expected time
+    hard_limit: int
+    credit: float
+    stream: bool = False
+
+
+@dataclass(slots=True)
+class Member:
+    """Who shares the fleet, and the rate that its share allows over all nodes."""
+    name: str
+    per_second: float
+    rate: float = 0.0
+    seen: int = 0
+
+
+@dataclass(slots=True)
+class Terms:
+    """The settings as received, in our words."""
+    offerings: list
+    members: list
+    me: int
+    nodes: int
+    most_trips: int
+    may_cancel: bool
+    may_probe: bool
+    may_copy: bool      # a second trip may be out beside the first
+    retry_after: int    # longest wait that clients follow; 0 where they are told none
+    drain_grace: int
+    cold_for: int
+    cold_from: float
+    tip_multiple: float
+    tip_window: int
+
+
+@dataclass(slots=True)
+class Listed:
+    """A backend as the list names it."""
+    name: str
+    state: str
+    zone: str
+    cell: object
+    kind: str
+    weight: float
+    started: int        # 0: long ago
+
+
+@dataclass(slots=True, eq=False)
+class Invocation:
+    """Something taken from a client. `mark` is the host's own and never read by the decisions."""
+    mark: object
+    offering: Offering
+    member: Member | None
+    arrived: int
+    expected: int       # the moment of its expected time
+    limit: int          # the moment at which the client gives up
+    repeat: bool = False
+    trips: list = field(default_factory=list)
+    out: int = 0        # trips still out
+    risky: "Trip | None" = None   # the first trip that may have run
+    held: int = 0       # since when it has waited here with nothing out
+    over: bool = False  # it has its final answer
+
+
+@dataclass(slots=True, eq=False)
+class Trip:
+    """One sending of an invocation to a backend."""
+    invocation: Invocation
+    number: int
+    backend: int        # dense index in the node that sent it
+    sent: int
+    until: int          # the moment of its time-out
+    trial: bool = False
+    called_off: bool = False
+    outcome: str | None = None
