--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -206,7 +206,9 @@
             invocation = self.held[0][2]
             if invocation.over:
                 heappop(self.held)
-            elif self._hopeless(invocation, now):
+            elif (self._hopeless(invocation, now)
+                  or now - invocation.held > PATIENCE * invocation.offering.expected):
+                # Held so long, it would come out of the backend late: an early no leaves room for the others.
                 heappop(self.held)
                 return self._final(invocation)
             else:
