--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -21,6 +21,7 @@
 PAUSES_KEPT = 30        # pauses; enough to tell a band, few enough to follow a change within a minute
 PAUSES_NEEDED = 3       # pauses; two make a line, the third can contradict it
 LONGEST_PAUSE = 15000   # 1.5 s; a longer stretch is an outage and teaches the forecast nothing
+REST_MOST = 50000       # 5 s; longest that a slow backend is left alone before it is tried in earnest
 FIRST_PAUSE = 2000      # 200 ms; mean pause assumed before one was seen, that of a long collection
 FAR = 2.5               # times; quick latency this far above its smoothed level is a pause, over a spread-out tail
 GOOD = 2.0              # times; an answer within this of the level ends a pause, under FAR so it cannot flap
@@ -37,7 +38,7 @@
 STRAIN = 0.5            # share of the expected time; answers slower than this mean that the fleet is filling up
 STRAINED = 0.05         # share of answers that may be so slow before fewer trips are let out
 LIMIT_STEP = 0.5        # trips; how fast the limit on trips out follows
-LIMIT_FIRST = 4.0       # trips a backend; before anything was learned
+LIMIT_FIRST = 6.0       # trips a backend, of all nodes together; before anything was learned
 EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
 EXTRA_MOST = 20.0       # further trips saved up, for a burst of losses when a backend dies
 HOPELESS = 0.5          # times typical; with less time than this left an invocation will not make it
@@ -52,6 +53,7 @@
 
 # Why a backend takes trials only.
 SLOW, SILENCE, FAILING = "slow", "silent", "failing"
+COUNTED = (None, SLOW)  # trips on the others come to nothing and must not use up the limit
 
 
 class Node:
@@ -71,7 +73,7 @@
         self.allowance, self.allowed_at = [], []
         self.out, self.last_answer = [], []
         self.quick, self.level, self.errors = [], [], []
-        self.trouble, self.since, self.until = [], [], []
+        self.trouble, self.since, self.until, self.relapses = [], [], [], []
         self.trial_at, self.trial_gap, self.trial_due, self.trials_out = [], [], [], []
         self.work, self.samples, self.sums, self.window = [], [], [], []
         self.pauses, self.mean_pause, self.forecast = [], [], []
@@ -85,7 +87,7 @@
         self.again = []             # invocations that wait for a further trip
         self.finals = deque()       # decisions already made
         self.probes = deque()
-        self.busy = 0               # trips out on backends without trouble
+        self.busy = 0               # trips out, but for those on silent or failing backends
         self.limit = None           # how many of those there may be
         self.extra = EXTRA_MOST
         self.between = 10000.0      # smoothed time between sends
@@ -126,7 +128,7 @@
                 if place < self.at:
                     self.at += 1
         if self.limit is None and self.turn:
-            self.limit = LIMIT_FIRST * len(self.turn)
+            self.limit = LIMIT_FIRST * len(self.turn) / self.terms.nodes
             self.at = self.pick(len(self.turn))
 
     def taken(self, now, invocation):
@@ -148,7 +150,7 @@
         trip.outcome = outcome
         invocation.out -= 1
         del self.out[b][trip]
-        if self.trouble[b] is None:
+        if self.trouble[b] in COUNTED:
             self.busy -= 1
         if trip.trial:
             self.trials_out[b] -= 1
@@ -333,7 +335,7 @@
             if trouble is not SLOW:
                 return trouble
             # Shared trouble: when most backends are slow at once, skipping them all helps nobody.
-            if self.slow_ones * 2 <= len(self.turn) and now < self.until[b]:
+            if self.slow_ones * 2 <= len(self.turn):
                 return SLOW
         if len(self.out[b]) >= CROWD_FLOOR + CROWD * self.busy / len(self.turn):
             return "crowded"
@@ -363,9 +365,9 @@
 
     def _send(self, invocation, b, now):
         trip = Trip(invocation, len(invocation.trips), b, now, invocation.limit)
-        if self.trouble[b] is None:
+        if self.trouble[b] in COUNTED:
             self.busy += 1
-        elif self._is_trial(invocation, b):
+        if self._is_trial(invocation, b):
             trip.trial = True
             self.trials_out[b] += 1
             self._next_trial(b, now)
@@ -426,25 +428,30 @@
 
     def _begin(self, b, why, now):
         if self.trouble[b] is None:
-            self.busy -= len(self.out[b])
             self.since[b] = now
-            self.until[b] = now + self.mean_pause[b]
+            # Slow again before it was well: it has not had the rest that it needs, and gets twice as long.
+            self.until[b] = now + min(REST_MOST, self.mean_pause[b] << self.relapses[b])
             self.trial_gap[b] = TRIAL_GAP
             self.trial_at[b] = now + TRIAL_GAP
             self.trial_due[b] = False
-        elif self.trouble[b] is SLOW:
-            self.slow_ones -= 1
-        self.trouble[b] = why
-        if why is SLOW:
-            self.slow_ones += 1
-
-    def _end(self, b, now):
-        if self.trouble[b] is SLOW:
-            self.slow_ones -= 1
-        self.trouble[b] = None
-        self.busy += len(self.out[b])
-        self.quick[b] = min(self.quick[b], max(self.level[b], 1.0))
+        self._mark(b, why)
+
+    def _mark(self, b, trouble):
+        """Keeps the counts that depend on which trouble a backend has."""
+        before = self.trouble[b]
+        self.busy += len(self.out[b]) * ((trouble in COUNTED) - (before in COUNTED))
+        self.slow_ones += (trouble is SLOW) - (before is SLOW)
+        self.trouble[b] = trouble
+
+    def _end(self, b, now, well=True):
+        self._mark(b, None)
         self.errors[b] = 0.0
+        if not well:
+            self.relapses[b] = min(self.relapses[b] + 1, 8)
+            self.quick[b] = GOOD * max(self.level[b], 1.0)
+            return
+        self.relapses[b] = 0
+        self.quick[b] = min(self.quick[b], max(self.level[b], 1.0))
         lasted = now - self.since[b]
         # Hangs, deaths and quick errors last longer than pauses; kept out, they cannot skew the forecast.
         if lasted <= LONGEST_PAUSE:
@@ -463,8 +470,8 @@
             if self.out[b]:
                 self._listen(b, now)
             if self.trouble[b] is not None and self.state[b] == READY:
-                if self.trouble[b] is SLOW and now >= self.until[b] + self.mean_pause[b]:
-                    self._end(b, now)
+                if self.trouble[b] is SLOW and now >= self.until[b]:
+                    self._end(b, now, well=False)
                 elif not self.trial_due[b] and now >= self.trial_at[b] and not self.trials_out[b]:
                     self._next_trial(b, now)
                     if self.terms.may_probe and self.trouble[b] is not SLOW:
@@ -510,7 +517,7 @@
 
     def _pause(self, b, lasted):
         """A pause has ended: it enters the regressions, the band is checked, the next one is forecast."""
-        self.mean_pause[b] += (lasted - self.mean_pause[b]) / 4
+        self.mean_pause[b] += (lasted - self.mean_pause[b]) // 4
         pauses = self.pauses[b]
         pauses.append(self.work[b])
         self.forecast[b] = None
@@ -549,6 +556,7 @@
                                  (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
                                  (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
                                  (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
+                                 (self.relapses, 0),
                                  (self.trial_at, 0), (self.trial_gap, TRIAL_GAP), (self.trial_due, False),
                                  (self.trials_out, 0), (self.work, 0), (self.samples, None), (self.sums, None),
                                  (self.window, WINDOW_MEDIUM), (self.pauses, None),
