--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -38,6 +38,7 @@
 STRAIN = 0.5            # share of the expected time; answers slower than this mean that the fleet is filling up
 STRAINED = 0.05         # share of answers that may be so slow before fewer trips are let out
 LIMIT_STEP = 0.5        # trips; how fast the limit on trips out follows
+LIMIT_LEAST = 3.0       # trips a backend, of all nodes together; it works on some while others wait or travel
 LIMIT_FIRST = 6.0       # trips a backend, of all nodes together; before anything was learned
 EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
 EXTRA_MOST = 20.0       # further trips saved up, for a burst of losses when a backend dies
@@ -422,10 +423,14 @@
         """Fewer trips out when too many answers come close to their expected time, more when few do."""
         invocation = trip.invocation
         if now - trip.sent > STRAIN * invocation.offering.expected:
-            self.limit = max(len(self.turn) / 2, 2.0, self.limit - LIMIT_STEP * (1 - STRAINED))
+            self.limit = max(self._least_limit(), self.limit - LIMIT_STEP * (1 - STRAINED))
         elif self.busy + 2 >= self.limit:
             self.limit += LIMIT_STEP * STRAINED
 
+    def _least_limit(self):
+        """Fewer trips than this would leave backends idle."""
+        return max(2.0, LIMIT_LEAST * len(self.turn) / self.terms.nodes)
+
     def _begin(self, b, why, now):
         if self.trouble[b] is None:
             self.since[b] = now
