--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -43,6 +43,7 @@
 EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
 EXTRA_MOST = 20.0       # further trips saved up, for a burst of losses when a backend dies
 HOPELESS = 0.5          # times typical; with less time than this left an invocation will not make it
+HOPELESS_LEAST = 100    # 10 ms; the host may act only every few ms, and the answer must be out before the limit
 PATIENCE = 0.3          # share of the expected time; an oldest held wait beyond it is overload
 COLD_MARGIN = 0.6       # share of the cold budget used; the rest is for uneven nodes, machines and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
@@ -227,7 +228,9 @@
     def wake(self, now):
         """When to call decide again, if nothing comes in before."""
         if self.busy or self.again or self.held or any(t is not None for t in self.trouble):
-            return max(self.sweep_at, now + 1)
+            # A client's repeat may have so little time left that the next sweep would come after its limit.
+            waiting = self.again + [self.held[0][2]] if self.held else self.again
+            return max(now + 1, min([self.sweep_at, *map(self._last_chance, waiting)]))
         return None
 
     def come_back_in(self, now):
@@ -259,7 +262,12 @@
         return BOUNCE if self._may_bounce(invocation) else GIVE_UP, invocation
 
     def _hopeless(self, invocation, now):
-        return now + HOPELESS * self.typical[invocation.offering.index] >= invocation.expected
+        return now >= self._last_chance(invocation)
+
+    def _last_chance(self, invocation):
+        """The moment from which a trip would no longer come back by the expected time."""
+        typical = self.typical[invocation.offering.index]
+        return invocation.expected - max(HOPELESS_LEAST, int(HOPELESS * typical))
 
     def _after_loss(self, now, invocation, outcome):
         """A trip came to nothing: a further one, or the final answer at once."""
