--- a/pierglade/benchlink/link.py
+++ b/pierglade/benchlink/link.py
@@ -137,7 +137,7 @@
         limit = (self.wall + fields["leftUs"]) // 100
         invocation = r.Invocation(
             fields["call"], offering, seat.members.get(fields.get("party")), self.now,
-            min(self.now + offering.expected, limit), limit, bool((fields.get("marks") or 0) & MARK_REPEAT))
+            limit, bool((fields.get("marks") or 0) & MARK_REPEAT))
         seat.calls[invocation.mark] = invocation
         seat.node.taken(self.now, invocation)
 
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -44,6 +44,7 @@
 EXTRA_MOST = 20.0       # further trips saved up, for a burst of losses when a backend dies
 HOPELESS = 0.5          # times typical; with less time than this left an invocation will not make it
 HOPELESS_LEAST = 100    # 10 ms; the host may act only every few ms, and the answer must be out before the limit
+USUAL = 0.98            # share of the longest time seen; a try with less has been cut by the hard limit
 PATIENCE = 0.3          # share of the expected time; an oldest held wait beyond it is overload
 COLD_MARGIN = 0.6       # share of the cold budget used; the rest is for uneven nodes, machines and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
@@ -67,7 +68,8 @@
         self.pick = chance.randrange
         self.trial_kinds = (HARMLESS,) if any(o.repeats == HARMLESS for o in terms.offerings) else (STAMPED,)
         # What differs by offering, a row each.
-        self.typical = [0.0 for _ in terms.offerings]
+        self.typical = [0.0 for _ in terms.offerings]       # smoothed latency
+        self.usual_left = [0 for _ in terms.offerings]      # longest time that a client's try has come with
         # What is known of each backend, under a dense index.
         self.index = {}
         self.names, self.state, self.zone, self.cell = [], [], [], []
@@ -141,11 +143,21 @@
             member.rate = member.rate * max(0.0, 1 - (now - member.seen) / RATE_SPAN) + 1
             member.seen = now
         invocation.held = now
+        invocation.expected = now + self._time_left(invocation)
         self.count += 1
         # By expected time, not by arrival: a client's repeat has less time left than those taken before it.
         heappush(self.held, (invocation.expected, self.count, invocation))
         self.line.append(invocation)
 
+    def _time_left(self, invocation):
+        """How much of the expected time is left, which runs from the client's first try."""
+        offering, left = invocation.offering, invocation.limit - invocation.arrived
+        usual = self.usual_left[offering.index] = max(self.usual_left[offering.index], left)
+        # Less time than first tries bring shows a late repeat, whose expected time may be over: worked on
+        # before the others it would fill the fleet with answers worth nothing.
+        spent = offering.hard_limit - left if left < USUAL * usual else 0
+        return min(left, offering.expected - spent)
+
     def returned(self, now, trip, outcome, took, done):
         """A trip has ended."""
         invocation, b = trip.invocation, trip.backend
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -88,9 +88,9 @@
     offering: Offering
     member: Member | None
     arrived: int
-    expected: int       # the moment of its expected time
     limit: int          # the moment at which the client gives up
     repeat: bool = False
+    expected: int = 0   # the moment of its expected time, as the node judges it
     trips: list = field(default_factory=list)
     out: int = 0        # trips still out
     risky: "Trip | None" = None   # the first trip that may have run
