Limit over sound backends; typical latency starts from the expected time

Cause: a node that just started took its first, very quick answer for typical, found every backend silent and then held everything, trials too.

--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -27,6 +27,7 @@
 GOOD = 2.0              # times; an answer within this of the level ends a pause, under FAR so it cannot flap
 RATIO_CAP = 6.0         # times; one answer counts as no slower, so that one heavy invocation is no pause
 QUICK, LEVEL = 1 / 4, 1 / 32    # shares of a new answer in the quick and in the smoothed level
+FIRST_TYPICAL = 0.25    # share of the expected time; a latency that users call good leaves room for a further trip
 TYPICAL = 1 / 24        # share of a new answer in an offering's typical latency: about a second's worth at a node
 ERRORS = 0.3            # share of a new outcome in the error level
 ERRORS_BAD, ERRORS_GOOD = 0.4, 0.2  # levels; two errors in a row start an outage, three good answers end it
@@ -68,7 +69,9 @@
         self.pick = chance.randrange
         self.trial_kinds = (HARMLESS,) if any(o.repeats == HARMLESS for o in terms.offerings) else (STAMPED,)
         # What differs by offering, a row each.
-        self.typical = [0.0 for _ in terms.offerings]       # smoothed latency
+        # Smoothed latency. A first answer alone is a poor guide: by a very quick one all would look silent.
+        self.typical = [FIRST_TYPICAL * o.expected for o in terms.offerings]
+        self.answers = [2] * len(terms.offerings)           # how many it rests on; the first guess counts as two
         self.usual_left = [0 for _ in terms.offerings]      # longest time that a client's try has come with
         # What is known of each backend, under a dense index.
         self.index = {}
@@ -92,7 +95,8 @@
         self.finals = deque()       # decisions already made
         self.probes = deque()
         self.busy = 0               # trips out, but for those on silent or failing backends
-        self.limit = None           # how many of those there may be
+        self.sound = 1              # ready backends that are neither silent nor failing
+        self.each = LIMIT_FIRST / terms.nodes   # how many trips this node may have out for each of those
         self.extra = EXTRA_MOST
         self.between = 10000.0      # smoothed time between sends
         self.last_send = now
@@ -103,6 +107,7 @@
 
     def listed(self, now, entries, whole):
         """The list's word on all backends, or on the changed ones."""
+        fresh = not self.turn
         if whole:
             named = {e.name for e in entries}
             for name, b in self.index.items():
@@ -131,8 +136,8 @@
                 self.turn.insert(place, b)
                 if place < self.at:
                     self.at += 1
-        if self.limit is None and self.turn:
-            self.limit = LIMIT_FIRST * len(self.turn) / self.terms.nodes
+        self._count_sound()
+        if fresh and self.turn:
             self.at = self.pick(len(self.turn))
 
     def taken(self, now, invocation):
@@ -228,7 +233,7 @@
                 heappop(self.held)
                 return self._final(invocation)
             else:
-                b = self._choose(invocation, now) if self.limit is not None and self.busy < self.limit else None
+                b = self._choose(invocation, now) if self.busy < self.each * self.sound else None
                 if b is None:
                     break
                 heappop(self.held)
@@ -358,7 +363,7 @@
             # Shared trouble: when most backends are slow at once, skipping them all helps nobody.
             if self.slow_ones * 2 <= len(self.turn):
                 return SLOW
-        if len(self.out[b]) >= CROWD_FLOOR + CROWD * self.busy / len(self.turn):
+        if len(self.out[b]) >= CROWD_FLOOR + CROWD * self.busy / self.sound:
             return "crowded"
         forecast = self.forecast[b]
         if forecast is not None:
@@ -412,11 +417,12 @@
             self.last_answer[b] = now
             self.errors[b] *= 1 - ERRORS
             typical = self.typical[o]
-            ratio = min(RATIO_CAP, took / typical) if typical else 1.0
+            ratio = min(RATIO_CAP, took / typical)
             self.quick[b] += (ratio - self.quick[b]) * QUICK
             level = max(self.level[b], 1.0)
             if self.trouble[b] is None:
-                self.typical[o] = typical + (took - typical) * TYPICAL if typical else float(took)
+                self.answers[o] += 1
+                self.typical[o] = typical + (took - typical) * max(TYPICAL, 1 / self.answers[o])
                 self.level[b] += (ratio - self.level[b]) * LEVEL
                 self._sample(b, now)
                 self._follow_strain(trip, now)
@@ -441,15 +447,15 @@
 
     def _follow_strain(self, trip, now):
         """Fewer trips out when too many answers come close to their expected time, more when few do."""
-        invocation = trip.invocation
+        invocation, step = trip.invocation, LIMIT_STEP / self.sound
         if now - trip.sent > STRAIN * invocation.offering.expected:
-            self.limit = max(self._least_limit(), self.limit - LIMIT_STEP * (1 - STRAINED))
-        elif self.busy + 2 >= self.limit:
-            self.limit += LIMIT_STEP * STRAINED
+            self.each = max(LIMIT_LEAST / self.terms.nodes, self.each - step * (1 - STRAINED))
+        elif self.busy + 2 >= self.each * self.sound:
+            self.each += step * STRAINED
 
-    def _least_limit(self):
-        """Fewer trips than this would leave backends idle."""
-        return max(2.0, LIMIT_LEAST * len(self.turn) / self.terms.nodes)
+    def _count_sound(self):
+        # One at least: a node that was cut off sees all fail, and must still send trials to find them well.
+        self.sound = max(1, sum(1 for b in self.turn if self.trouble[b] in COUNTED))
 
     def _begin(self, b, why, now):
         if self.trouble[b] is None:
@@ -467,6 +473,7 @@
         self.busy += len(self.out[b]) * ((trouble in COUNTED) - (before in COUNTED))
         self.slow_ones += (trouble is SLOW) - (before is SLOW)
         self.trouble[b] = trouble
+        self._count_sound()
 
     def _end(self, b, now, well=True):
         self._mark(b, None)
@@ -510,7 +517,7 @@
         oldest = next(iter(trips))
         quiet = now - max(self.last_answer[b], oldest.sent)
         typical = self.typical[oldest.invocation.offering.index] * max(self.level[b], 1.0)
-        if not typical or quiet < SILENT_LEAST * typical or quiet * len(trips) < SILENT * typical:
+        if quiet < SILENT_LEAST * typical or quiet * len(trips) < SILENT * typical:
             return
         if self.trouble[b] is not SILENCE:
             self._begin(b, SILENCE, now)
