--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -340,7 +340,7 @@
             if skip is None:
                 self.at = place + 1 if place + 1 < count else 0
                 return b
-            if fallback is None and skip in ("forecast", SLOW, "tried", "crowded"):
+            if fallback is None and skip in ("forecast", SLOW, "crowded"):
                 fallback = place
         if fallback is None:
             return None
@@ -428,7 +428,7 @@
                 self._follow_strain(trip, now)
                 if self.quick[b] > FAR * level:
                     self._begin(b, SLOW, now)
-            elif trip.sent < self.since[b]:
+            elif trip.sent < self.since[b] and self.trouble[b] is not SILENCE:
                 pass    # An answer from before the trouble says nothing about its end.
             elif ratio <= GOOD * level and self.errors[b] <= ERRORS_GOOD:
                 self._end(b, now)
@@ -436,9 +436,10 @@
                 self.trial_due[b] = self.trouble[b] is FAILING
         elif outcome == CALLED_OFF or outcome == NEVER_SENT:
             pass
-        elif outcome == TURNED_AWAY:
-            self.last_answer[b] = now
         else:
+            if outcome == TURNED_AWAY:
+                self.last_answer[b] = now
+            # Turned away counts too: whoever says no at once has nothing in flight and would attract work.
             self.errors[b] += (1 - self.errors[b]) * ERRORS
             if outcome == UNREACHABLE or self.errors[b] >= ERRORS_BAD:
                 self._begin(b, FAILING, now)
--- /dev/null
+++ b/tests/scene.py
@@ -0,0 +1,114 @@
+"""A node on a hand-moved clock whose decisions are written down, one a line, and compared with a kept trace."""
+
+import difflib
+import os
+import pathlib
+import unittest
+
+from pierglade import records as r
+from pierglade.choice import Node
+
+TRACES = pathlib.Path(__file__).parent / "traces"
+MS = 10     # tenths
+
+
+def terms(**changed):
+    offerings = [r.Offering(0, "look", r.HARMLESS, "all", 0, 400 * MS, 1000 * MS, 1.0),
+                 r.Offering(1, "hold", r.STAMPED, "zone", 300 * MS, 400 * MS, 1000 * MS, 3.0),
+                 r.Offering(2, "pay", r.ONE_SHOT, "all", 0, 400 * MS, 1000 * MS, 8.0)]
+    known = dict(offerings=offerings, members=[r.Member("north", 20.0), r.Member("south", 500.0)], me=0, nodes=1,
+                 most_trips=3, may_cancel=True, may_probe=True, may_copy=False, retry_after=0,
+                 drain_grace=500 * MS, cold_for=8000 * MS, cold_from=0.25, tip_multiple=4.0, tip_window=1000 * MS)
+    known.update(changed)
+    return r.Terms(**known)
+
+
+def listed(name, state=r.READY, zone="east", started=0):
+    return r.Listed(name, state, zone, 0, "box", 1.0, started)
+
+
+class Scene:
+    def __init__(self, backends, seed=4, dead=(), **changed):
+        self.dead = dead
+        self.terms = terms(**changed)
+        self.now = 10000 * MS
+        self.lines, self.invocations = [], {}
+        self.node = Node(seed, self.terms, self.now)
+        self.list(backends, whole=True)
+
+    def say(self, text):
+        self.lines.append(f"{self.now / MS - 10000:8.1f}  {text}")
+
+    def list(self, backends, whole=False):
+        entries = [listed(b) if isinstance(b, str) else b for b in backends]
+        self.node.listed(self.now, entries, whole)
+        self.pull()
+
+    def after(self, ms):
+        """Moves the clock on, with every wake that the node asks for on the way."""
+        end = self.now + int(ms * MS)
+        while (wake := self.node.wake(self.now)) is not None and wake <= end:
+            self.now = wake
+            self.pull()
+        self.now = end
+        self.pull()
+
+    def take(self, name, offering=0, left=1000, member=None):
+        invocation = r.Invocation(name, self.terms.offerings[offering], member, self.now, self.now + left * MS)
+        self.invocations[name] = invocation
+        self.node.taken(self.now, invocation)
+        self.pull()
+        return invocation
+
+    def end(self, name, outcome=r.SETTLED, note=True):
+        trip = self.invocations[name].trips[-1]
+        if note:
+            self.say(f"{name} at {self.node.names[trip.backend]}: {outcome}")
+        self.node.returned(self.now, trip, outcome, self.now - trip.sent, outcome == r.SETTLED)
+        self.pull()
+
+    def flow(self, count, slow=(), took=20, slow_took=200):
+        """Harmless invocations one after the other; prints where they went."""
+        went, lines = [], self.lines
+        for _ in range(count):
+            self.lines = []
+            invocation = self.take("flow")
+            if invocation.trips:
+                name = self.node.names[invocation.trips[-1].backend]
+                went.append(name)
+                self.after(slow_took if name in slow else took)
+                if invocation.trips[-1].outcome is None:
+                    self.end("flow")
+            else:
+                went.append("-")
+        self.lines = lines
+        self.say(f"{count} went to {' '.join(went)}")
+
+    def pull(self):
+        while (decision := self.node.decide(self.now)) is not None:
+            kind, subject = decision
+            if kind is r.SEND:
+                trial = " as a trial" if subject.trial else ""
+                self.say(f"send {subject.invocation.mark} to {self.node.names[subject.backend]}{trial}")
+            elif kind is r.CALL_OFF:
+                self.say(f"call off {subject.invocation.mark} at {self.node.names[subject.backend]}")
+            elif kind is r.PROBE:
+                name = self.node.names[subject]
+                self.say(f"probe {name}")
+                self.node.probed(self.now, name, name not in self.dead, 5)
+            else:
+                self.say(f"{kind} {subject.mark}")
+
+    def out(self):
+        return [name for name, i in self.invocations.items() if i.out]
+
+
+class TraceTest(unittest.TestCase):
+    def check(self, name, lines):
+        """Compares with tests/traces/NAME.txt; with RETRACE=1 in the environment the trace is written anew."""
+        path = TRACES / f"{name}.txt"
+        if os.environ.get("RETRACE"):
+            path.write_text("\n".join(lines) + "\n")
+        kept = path.read_text().splitlines()
+        if kept != lines:
+            self.fail("\n" + "\n".join(difflib.unified_diff(kept, lines, "kept", "now", lineterm="")))
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,183 @@
+"""Short traces of decisions; each is kept in tests/traces/ and read by people."""
+
+from pierglade import records as r
+from tests.scene import MS, Scene, TraceTest, listed
+
+
+class Rotation(TraceTest):
+    def learn_pauses(self, scene):
+        for _ in range(3):
+            scene.flow(60)
+            scene.flow(6, slow=("b1",))
+            scene.after(200)
+        return scene
+
+    def test_skips_a_forecast_pause_and_rejoins(self):
+        scene = self.learn_pauses(Scene(["b0", "b1", "b2"]))
+        scene.flow(60)
+        scene.flow(30)
+        self.check("forecast", scene.lines)
+
+    def test_a_stale_forecast_starves_nobody(self):
+        scene = self.learn_pauses(Scene(["b0", "b1", "b2"]))
+        scene.flow(40)
+        scene.after(60000)
+        scene.flow(30)
+        self.check("stale", scene.lines)
+
+    def test_crowded(self):
+        scene = Scene(["b0", "b1", "b2"])
+        for n in range(9):
+            scene.take(f"i{n}")
+            scene.after(5)
+            for name in scene.out():
+                if scene.node.names[scene.invocations[name].trips[-1].backend] != "b1":
+                    scene.end(name, note=False)
+        self.check("crowded", scene.lines)
+
+
+class Health(TraceTest):
+    def test_hang_is_no_pause(self):
+        scene = Scene(["b0", "b1", "b2"], dead=("b1",))
+        scene.flow(30)
+        for n in range(6):
+            scene.take(f"i{n}", offering=(0, 1, 2)[n % 3])
+        for _ in range(12):
+            scene.after(20)
+            for name in scene.out():
+                trip = scene.invocations[name].trips[-1]
+                if scene.node.names[trip.backend] != "b1":
+                    scene.end(name)
+                elif trip.called_off:
+                    scene.end(name, r.CALLED_OFF)
+        scene.say(f"b1 is {scene.node.trouble[scene.node.index['b1']]}, "
+                  f"pauses known: {len(scene.node.pauses[scene.node.index['b1']])}")
+        self.check("hang", scene.lines)
+
+    def test_quick_errors_do_not_attract_work(self):
+        scene = Scene(["b0", "b1", "b2"])
+        scene.flow(12)
+        for n in range(12):
+            scene.take(f"i{n}")
+            scene.after(2)
+            for name in scene.out():
+                at_b1 = scene.node.names[scene.invocations[name].trips[-1].backend] == "b1"
+                scene.end(name, r.TURNED_AWAY if at_b1 else r.SETTLED, note=at_b1)
+        scene.after(200)
+        scene.flow(9)
+        self.check("quick_errors", scene.lines)
+
+    def test_first_quick_answer_makes_nobody_silent(self):
+        scene = Scene(["b0", "b1", "b2"])
+        for n in range(3):
+            scene.take(f"i{n}")
+        scene.after(2)
+        scene.end("i0")
+        scene.after(60)
+        scene.end("i1")
+        scene.end("i2")
+        self.check("first_answer", scene.lines)
+
+    def test_a_node_that_saw_all_fail_comes_back(self):
+        scene = Scene(["b0", "b1"])
+        for n in range(2):
+            scene.take(f"i{n}")
+            scene.end(f"i{n}", r.UNREACHABLE)
+        scene.after(160)
+        scene.flow(4)
+        self.check("all_failed", scene.lines)
+
+
+class Rules(TraceTest):
+    def test_each_offering_after_each_outcome(self):
+        lines = []
+        for outcome in (r.TURNED_AWAY, r.UNREACHABLE, r.NEVER_SENT, r.ERROR, r.BROKEN, r.TIMED_OUT, r.CALLED_OFF):
+            for offering, name in enumerate(("harmless", "stamped", "one-shot")):
+                scene = Scene(["b0", "b1", listed("w0", zone="west")])
+                scene.take(name, offering)
+                scene.after(5)
+                scene.end(name, outcome)
+                lines += scene.lines
+        self.check("outcomes", lines)
+
+    def test_stamped_stays_in_its_group_and_window(self):
+        scene = Scene(["b0", listed("w0", zone="west")], seed=1)
+        scene.take("a", 1)
+        scene.after(5)
+        scene.end("a", r.ERROR)
+        scene.list([listed("b2", zone=scene.node.zone[scene.invocations["a"].trips[0].backend])])
+        scene.after(10)
+        scene.take("b", 1)
+        scene.after(310)
+        scene.end("b", r.ERROR)
+        self.check("stamped", scene.lines)
+
+    def test_hard_limit(self):
+        scene = Scene([])
+        scene.take("a")
+        scene.take("short", left=30)
+        scene.after(400)
+        scene.list(["b0"])
+        scene.take("b", 2, left=200)
+        scene.after(200)
+        scene.end("b", r.TIMED_OUT)
+        self.check("limit", scene.lines)
+
+    def test_late_repeat_is_known_by_its_time_left(self):
+        scene = Scene(["b0"])
+        scene.take("first", left=600)
+        scene.take("repeat", left=500)
+        self.check("repeat", scene.lines)
+
+    def test_drains_and_returns(self):
+        scene = Scene(["b0", "b1"])
+        scene.flow(4)
+        scene.list([listed("b1", r.DRAINING)])
+        scene.flow(4)
+        scene.list([listed("b1", r.GONE), listed("b9", r.GONE)])
+        scene.list(["b2"])
+        scene.flow(4)
+        scene.list(["b1"], whole=True)
+        scene.flow(4)
+        self.check("list", scene.lines)
+
+    def test_cold_backend_gets_its_part_only(self):
+        scene = Scene(["b0", "b1"], nodes=2)
+        scene.flow(40, took=10)
+        scene.list([listed("cold", started=scene.now)])
+        scene.flow(40, took=10)
+        scene.after(8000)
+        scene.flow(12, took=10)
+        self.check("cold", scene.lines)
+
+    def test_restart_from_an_old_list(self):
+        scene = Scene(["b0", "gone", listed("cold", started=9000 * MS)])
+        scene.take("a", 2)
+        scene.take("b", 2)
+        scene.after(100)
+        for name in ("a", "b"):
+            at_gone = scene.node.names[scene.invocations[name].trips[-1].backend] == "gone"
+            scene.end(name, r.UNREACHABLE if at_gone else r.SETTLED)
+        scene.list(["b0", listed("cold", started=9000 * MS)], whole=True)
+        scene.flow(6)
+        self.check("restart", scene.lines)
+
+
+class Overload(TraceTest):
+    def test_told_by_the_oldest_wait(self):
+        scene = Scene(["b0"])
+        north, south = scene.terms.members
+        for n in range(14):
+            scene.take(f"{'north' if n % 2 else 'south'}{n}", member=north if n % 2 else south)
+            scene.after(10)
+        scene.after(300)
+        self.check("overload", scene.lines)
+
+    def test_the_client_goes(self):
+        scene = Scene(["b0"])
+        scene.take("a")
+        scene.node.abandoned(scene.now, scene.invocations["a"])
+        scene.pull()
+        scene.end("a", r.CALLED_OFF)
+        scene.say(f"busy {scene.node.busy}")
+        self.check("client_gone", scene.lines)
