--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -51,7 +51,6 @@
 COLD_BURST = 1.5        # trips saved up for a cold backend
 SHARE_OVER = 2000       # 0.2 s in tenths; kept short of a second so that a burst shows
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
-FADE = 0.9975           # share left of what was asked and settled after each sweep: about 20 s are seen
 SWEEP = 500             # 50 ms; looking for silence costs little at this pace and finds it within one answer
 FORGET = 600000         # 60 s; a gone backend's index is used again after this, beyond any hard limit
 COME_BACK = 5000        # 0.5 s; advice to a bounced client under overload, the time a burst takes to pass
@@ -72,8 +71,6 @@
         # What differs by offering, a row each.
         # Smoothed latency. A first answer alone is a poor guide: by a very quick one all would look silent.
         self.typical = [FIRST_TYPICAL * o.expected for o in terms.offerings]
-        self.asked = [0.0] * len(terms.offerings)           # taken lately
-        self.got = [0.0] * len(terms.offerings)             # settled lately within the expected time
         self.answers = [2] * len(terms.offerings)           # how many it rests on; the first guess counts as two
         self.usual_left = [0 for _ in terms.offerings]      # longest time that a client's try has come with
         # What is known of each backend, under a dense index.
@@ -91,7 +88,7 @@
         self.turn, self.at = [], 0
         self.slow_ones = 0
         # What is held and out.
-        self.held = [[] for _ in terms.offerings]   # heaps of (moment of the expected time, count, invocation)
+        self.held = []              # heap of (moment of the expected time, count, invocation)
         self.line = deque()         # the same in order of arrival, some already gone
         self.count = 0
         self.again = []             # invocations that wait for a further trip
@@ -150,12 +147,11 @@
         if member is not None:
             member.rate = member.rate * max(0.0, 1 - (now - member.seen) / RATE_SPAN) + 1
             member.seen = now
-        self.asked[invocation.offering.index] += 1
         invocation.held = now
         invocation.expected = now + self._time_left(invocation)
         self.count += 1
         # By expected time, not by arrival: a client's repeat has less time left than those taken before it.
-        heappush(self.held[invocation.offering.index], (invocation.expected, self.count, invocation))
+        heappush(self.held, (invocation.expected, self.count, invocation))
         self.line.append(invocation)
 
     def _time_left(self, invocation):
@@ -184,8 +180,6 @@
             return
         if done:
             invocation.over = True
-            if outcome == SETTLED and now <= invocation.expected:
-                self.got[invocation.offering.index] += 1
             self._call_off_rest(invocation)
         elif not invocation.out:
             self._after_loss(now, invocation, outcome)
@@ -229,27 +223,30 @@
             if b is not None:
                 self.again.remove(invocation)
                 return self._send(invocation, b, now)
-        while (queue := self._next_queue(now)) is not None:
-            invocation = queue[0][2]
-            if (self._hopeless(invocation, now)
-                    or now - invocation.held > PATIENCE * invocation.offering.expected):
+        while self.held:
+            invocation = self.held[0][2]
+            if invocation.over:
+                heappop(self.held)
+            elif (self._hopeless(invocation, now)
+                  or now - invocation.held > PATIENCE * invocation.offering.expected):
                 # Held so long, it would come out of the backend late: an early no leaves room for the others.
-                heappop(queue)
+                heappop(self.held)
                 return self._final(invocation)
-            b = self._choose(invocation, now) if self.busy < self.each * self.sound else None
-            if b is None:
-                break
-            heappop(queue)
-            return self._send(invocation, b, now)
+            else:
+                b = self._choose(invocation, now) if self.busy < self.each * self.sound else None
+                if b is None:
+                    break
+                heappop(self.held)
+                return self._send(invocation, b, now)
         if self.probes:
             return PROBE, self.probes.popleft()
         return None
 
     def wake(self, now):
         """When to call decide again, if nothing comes in before."""
-        if self.busy or self.again or any(self.held) or any(t is not None for t in self.trouble):
+        if self.busy or self.again or self.held or any(t is not None for t in self.trouble):
             # A client's repeat may have so little time left that the next sweep would come after its limit.
-            waiting = self.again + [queue[0][2] for queue in self.held if queue]
+            waiting = self.again + [self.held[0][2]] if self.held else self.again
             return max(now + 1, min([self.sweep_at, *map(self._last_chance, waiting)]))
         return None
 
@@ -311,30 +308,6 @@
 
     # Holding.
 
-    def _next_queue(self, now):
-        """The queue to send from: first what would be lost if it waited, then what brings most for its time."""
-        best = None
-        for o, queue in enumerate(self.held):
-            while queue and queue[0][2].over:
-                heappop(queue)
-            if not queue:
-                continue
-            if self._hopeless(queue[0][2], now):
-                return queue
-            rank = -self._gain(o)
-            if best is None or rank < least:
-                best, least = queue, rank
-        return best
-
-    def _gain(self, o):
-        """What one more settled invocation of an offering brings to the service, for each unit of time."""
-        credits = sum(a * row.credit for a, row in zip(self.asked, self.terms.offerings))
-        shares = [got / max(asked, 1.0) for got, asked in zip(self.got, self.asked)]
-        gain = (1 - self.terms.worst_offering) * self.terms.offerings[o].credit / max(credits, 1.0)
-        if shares[o] == min(shares):
-            gain += self.terms.worst_offering / max(self.asked[o], 1.0)
-        return gain / self.typical[o]
-
     def _relieve(self, now):
         """Overload is told by the oldest held wait; what members ask beyond their share goes first."""
         line = self.line
@@ -526,9 +499,6 @@
     def _sweep(self, now):
         self.sweep_at = now + SWEEP
         self._relieve(now)
-        for o in range(len(self.asked)):
-            self.asked[o] *= FADE
-            self.got[o] *= FADE
         for b in range(len(self.names)):
             if self.out[b]:
                 self._listen(b, now)
