--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -363,7 +363,7 @@
             # Shared trouble: when most backends are slow at once, skipping them all helps nobody.
             if self.slow_ones * 2 <= len(self.turn):
                 return SLOW
-        if len(self.out[b]) >= CROWD_FLOOR + CROWD * self.busy / self.sound:
+        if (len(self.out[b]) + 1) * self.level[b] > 1 + CROWD_FLOOR + CROWD * self.busy / self.sound:
             return "crowded"
         forecast = self.forecast[b]
         if forecast is not None:
