--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -502,10 +502,6 @@
         for b in range(len(self.names)):
             if self.out[b]:
                 self._listen(b, now)
-                if self.overloaded:
-                    for trip in self.out[b]:
-                        if now >= trip.invocation.expected:
-                            self._call_off(trip)
             if self.trouble[b] is not None and self.state[b] == READY:
                 if self.trouble[b] is SLOW and now >= self.until[b]:
                     self._end(b, now, well=False)
