--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -13,7 +13,7 @@
 
 from pierglade.records import (
     BOUNCE, CALL_OFF, CALLED_OFF, GIVE_UP, GONE, HARMLESS, NEVER_RAN, NEVER_SENT, ONE_SHOT, PROBE, READY, SEND,
-    SETTLED, STAMPED, TURNED_AWAY, UNREACHABLE, Trip)
+    SETTLED, STAMPED, TIMED_OUT, TURNED_AWAY, UNREACHABLE, Trip)
 
 # Constants. Times are tenths of a millisecond.
 WINDOW_LOW, WINDOW_MEDIUM, WINDOW_HIGH = 3000, 300, 30   # samples; the design's forecast windows by band
@@ -51,6 +51,7 @@
 COLD_BURST = 1.5        # trips saved up for a cold backend
 SHARE_OVER = 2000       # 0.2 s in tenths; kept short of a second so that a burst shows
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
+GHOST = 1.0             # times typical; how long a trip that nobody waits for still counts as in flight
 SWEEP = 500             # 50 ms; looking for silence costs little at this pace and finds it within one answer
 FORGET = 600000         # 60 s; a gone backend's index is used again after this, beyond any hard limit
 COME_BACK = 5000        # 0.5 s; advice to a bounced client under overload, the time a burst takes to pass
@@ -168,9 +169,12 @@
         invocation, b = trip.invocation, trip.backend
         trip.outcome = outcome
         invocation.out -= 1
-        del self.out[b][trip]
-        if self.trouble[b] in COUNTED:
-            self.busy -= 1
+        # A trip that is no longer waited for may still be worked on, and keeps its place in flight for as long
+        # as that is likely to take: filled at once, the place would overdrive the backend.
+        if outcome == TIMED_OUT or outcome == CALLED_OFF:
+            trip.until = now + int(GHOST * self.typical[invocation.offering.index])
+        else:
+            self._leave_flight(b, trip)
         if trip.trial:
             self.trials_out[b] -= 1
         if outcome in NEVER_RAN and invocation.risky is trip:
@@ -184,6 +188,11 @@
         elif not invocation.out:
             self._after_loss(now, invocation, outcome)
 
+    def _leave_flight(self, b, trip):
+        del self.out[b][trip]
+        if self.trouble[b] in COUNTED:
+            self.busy -= 1
+
     def streaming(self, trip):
         """The answer has started; the trip belongs to the client."""
         trip.called_off = trip.invocation.over = True
@@ -515,6 +524,10 @@
     def _listen(self, b, now):
         """A backend that answers nothing for long, with trips out, is silent; what may be is sent elsewhere."""
         trips = self.out[b]
+        for trip in [t for t in trips if t.outcome and now >= t.until]:
+            self._leave_flight(b, trip)
+        if not trips:
+            return
         oldest = next(iter(trips))
         quiet = now - max(self.last_answer[b], oldest.sent)
         typical = self.typical[oldest.invocation.offering.index] * max(self.level[b], 1.0)
