What a first try brings is voted on, not the longest seen

Cause, from a tap: repeats came with 1000 ms, first tries with 850; the longest seen made all first tries look late.

--- a/pierglade/benchlink/link.py
+++ b/pierglade/benchlink/link.py
@@ -42,6 +42,7 @@
         most_trips=limits.get("mostTrips") or 1, may_cancel=bool(limits.get("mayCancel")),
         may_probe=bool(limits.get("probes")), may_copy=bool(limits.get("secondCopies")),
         retry_after=down(limits.get("maxRetryAfterUs") or 0) if limits.get("retryAfter") else 0,
+        marks_repeats=bool((conf.get("clientHabits") or {}).get("marksRetry")),
         drain_grace=down(contract.get("drainGraceUs") or 0), cold_for=up(contract.get("coldUs") or 0),
         cold_from=float(contract.get("startCapacity") or 1), tip_multiple=float(contract.get("tipMultiple") or 1),
         tip_window=up(contract.get("fallUs") or 0))
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -45,7 +45,8 @@
 EXTRA_MOST = 20.0       # further trips saved up, for a burst of losses when a backend dies
 HOPELESS = 1.0          # times typical; with less time than this left, more than half would come too late
 HOPELESS_LEAST = 100    # 10 ms; the host may act only every few ms, and the answer must be out before the limit
-USUAL = 0.98            # share of the longest time seen; a try with less has been cut by the hard limit
+USUAL = 0.02            # share; a try that comes with this much less than first tries was cut by the hard limit
+VOTES_MOST = 50         # tries; how many of another kind it takes to change what is usual, about a second's worth
 PATIENCE = 0.3          # share of the expected time; an oldest held wait beyond it is overload
 COLD_MARGIN = 0.6       # share of the cold budget used; the rest is for uneven nodes, machines and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
@@ -73,7 +74,8 @@
         # Smoothed latency. A first answer alone is a poor guide: by a very quick one all would look silent.
         self.typical = [FIRST_TYPICAL * o.expected for o in terms.offerings]
         self.answers = [2] * len(terms.offerings)           # how many it rests on; the first guess counts as two
-        self.usual_left = [0 for _ in terms.offerings]      # longest time that a client's try has come with
+        self.usual_left = [0] * len(terms.offerings)        # the time that a client's first try comes with
+        self.usual_votes = [0] * len(terms.offerings)       # how sure that is
         # What is known of each backend, under a dense index.
         self.index = {}
         self.names, self.state, self.zone, self.cell = [], [], [], []
@@ -158,10 +160,19 @@
     def _time_left(self, invocation):
         """How much of the expected time is left, which runs from the client's first try."""
         offering, left = invocation.offering, invocation.limit - invocation.arrived
-        usual = self.usual_left[offering.index] = max(self.usual_left[offering.index], left)
+        o, usual = offering.index, self.usual_left[offering.index]
+        if not invocation.repeat:
+            # A vote, not the longest seen: some repeats come with more time than first tries do, and by these
+            # all first tries would look late.
+            self.usual_votes[o] += 1 if abs(left - usual) <= USUAL * usual else -1
+            if self.usual_votes[o] < 0:
+                self.usual_left[o], self.usual_votes[o] = left, 1
+            self.usual_votes[o] = min(self.usual_votes[o], VOTES_MOST)
+            if self.terms.marks_repeats:
+                return min(left, offering.expected)
         # Less time than first tries bring shows a late repeat, whose expected time may be over: worked on
         # before the others it would fill the fleet with answers worth nothing.
-        spent = offering.hard_limit - left if left < USUAL * usual else 0
+        spent = offering.hard_limit - left if left < (1 - USUAL) * usual else 0
         return min(left, offering.expected - spent)
 
     def returned(self, now, trip, outcome, took, done):
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -62,6 +62,7 @@
     may_probe: bool
     may_copy: bool      # a second trip may be out beside the first
     retry_after: int    # longest wait that clients follow; 0 where they are told none
+    marks_repeats: bool # clients mark their repeats
     drain_grace: int
     cold_for: int
     cold_from: float
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -125,8 +125,11 @@
 
     def test_late_repeat_is_known_by_its_time_left(self):
         scene = Scene(["b0"])
-        scene.take("first", left=600)
+        for n in range(3):
+            scene.take(f"first{n}", left=600)
         scene.take("repeat", left=500)
+        scene.take("long repeat", left=900)
+        scene.take("another first", left=600)
         self.check("repeat", scene.lines)
 
     def test_drains_and_returns(self):
