--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -91,7 +91,7 @@
         self.turn, self.at = [], 0
         self.slow_ones = 0
         # What is held and out.
-        self.held = []              # heap of (moment of the expected time, count, invocation)
+        self.held = [], []          # first tries, repeats: heaps of (moment expected, count, invocation)
         self.line = deque()         # the same in order of arrival, some already gone
         self.count = 0
         self.again = []             # invocations that wait for a further trip
@@ -154,7 +154,7 @@
         invocation.expected = now + self._time_left(invocation)
         self.count += 1
         # By expected time, not by arrival: a client's repeat has less time left than those taken before it.
-        heappush(self.held, (invocation.expected, self.count, invocation))
+        heappush(self.held[invocation.repeat], (invocation.expected, self.count, invocation))
         self.line.append(invocation)
 
     def _time_left(self, invocation):
@@ -243,30 +243,32 @@
             if b is not None:
                 self.again.remove(invocation)
                 return self._send(invocation, b, now)
-        while self.held:
-            invocation = self.held[0][2]
-            if invocation.over:
-                heappop(self.held)
-            elif (self._hopeless(invocation, now)
-                  or now - invocation.held > PATIENCE * invocation.offering.expected):
-                # Held so long, it would come out of the backend late: an early no leaves room for the others.
-                heappop(self.held)
-                return self._final(invocation)
-            else:
-                b = self._choose(invocation, now) if self.busy < self.each * self.sound else None
-                if b is None:
-                    break
-                heappop(self.held)
-                return self._send(invocation, b, now)
+        # Repeats go after first tries: how much of their expected time is left is not known.
+        for queue in self.held:
+            while queue:
+                invocation = queue[0][2]
+                if invocation.over:
+                    heappop(queue)
+                elif (self._hopeless(invocation, now)
+                      or now - invocation.held > PATIENCE * invocation.offering.expected):
+                    # Held so long, it would come out of the backend late: an early no leaves room for the others.
+                    heappop(queue)
+                    return self._final(invocation)
+                else:
+                    b = self._choose(invocation, now) if self.busy < self.each * self.sound else None
+                    if b is None:
+                        break
+                    heappop(queue)
+                    return self._send(invocation, b, now)
         if self.probes:
             return PROBE, self.probes.popleft()
         return None
 
     def wake(self, now):
         """When to call decide again, if nothing comes in before."""
-        if self.busy or self.again or self.held or any(t is not None for t in self.trouble):
+        if self.busy or self.again or any(self.held) or any(t is not None for t in self.trouble):
             # A client's repeat may have so little time left that the next sweep would come after its limit.
-            waiting = self.again + [self.held[0][2]] if self.held else self.again
+            waiting = self.again + [queue[0][2] for queue in self.held if queue]
             return max(now + 1, min([self.sweep_at, *map(self._last_chance, waiting)]))
         return None
 
