--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -21,8 +21,6 @@
 PAUSES_KEPT = 30        # pauses; enough to tell a band, few enough to follow a change within a minute
 PAUSES_NEEDED = 3       # pauses; two make a line, the third can contradict it
 LONGEST_PAUSE = 15000   # 1.5 s; a longer stretch is an outage and teaches the forecast nothing
-OVERDRIVEN = 0.3        # strained answers a backend
-REST_SHARE = 0.25
 REST_MOST = 50000       # 5 s; longest that a slow backend is left alone before it is tried in earnest
 FIRST_PAUSE = 2000      # 200 ms; mean pause assumed before one was seen, that of a long collection
 FAR = 2.5               # times; quick latency this far above its smoothed level is a pause, over a spread-out tail
@@ -101,7 +99,6 @@
         self.probes = deque()
         self.busy = 0               # trips out, but for those on silent or failing backends
         self.sound = 1              # ready backends that are neither silent nor failing
-        self.strained, self.rest_until, self.rest_again = 0.0, 0, 0
         self.each = LIMIT_FIRST / terms.nodes   # how many trips this node may have out for each of those
         self.extra = EXTRA_MOST
         self.between = 10000.0      # smoothed time between sends
@@ -258,7 +255,7 @@
                     heappop(queue)
                     return self._final(invocation)
                 else:
-                    b = self._choose(invocation, now) if self.busy < self.each * self.sound * (REST_SHARE if now < self.rest_until else 1) else None
+                    b = self._choose(invocation, now) if self.busy < self.each * self.sound else None
                     if b is None:
                         break
                     heappop(queue)
@@ -474,18 +471,8 @@
     def _follow_strain(self, trip, now):
         """Fewer trips out when too many answers come close to their expected time, more when few do."""
         invocation, step = trip.invocation, LIMIT_STEP / self.sound
-        least = LIMIT_LEAST / self.terms.nodes
         if now - trip.sent > STRAIN * invocation.offering.expected:
-            self.each = max(least, self.each - step * (1 - STRAINED))
-            if self.each == least:
-                self.strained += 1
-                if self.strained >= OVERDRIVEN * self.sound and now >= self.rest_again:
-                    self.rest_until, self.rest_again = now + REST_MOST, now + 4 * REST_MOST
-                    self.strained = 0
-        else:
-            self.strained = max(0.0, self.strained - 0.1)
-        if now - trip.sent > STRAIN * invocation.offering.expected:
-            pass
+            self.each = max(LIMIT_LEAST / self.terms.nodes, self.each - step * (1 - STRAINED))
         elif self.busy + 2 >= self.each * self.sound:
             self.each += step * STRAINED
 
