--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -50,7 +50,7 @@
 PATIENCE = 0.3          # share of the expected time; an oldest held wait beyond it is overload
 COLD_MARGIN = 0.6       # share of the cold budget used; the rest is for uneven nodes, machines and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
-SHARE_OVER = 2000       # 0.2 s in tenths; kept short of a second so that a burst shows
+OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
 GHOST = 1.0             # times typical; how long a trip that nobody waits for still counts as in flight
 SWEEP = 500             # 50 ms; looking for silence costs little at this pace and finds it within one answer
@@ -147,7 +147,8 @@
         """An invocation has come in; from here on it is owed one final answer."""
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_SHARE)
         member = invocation.member
-        if member is not None:
+        if member is not None and not invocation.repeat:
+            # Repeats of what was bounced must not make a member look greedy.
             member.rate = member.rate * max(0.0, 1 - (now - member.seen) / RATE_SPAN) + 1
             member.seen = now
         invocation.held = now
@@ -345,7 +346,7 @@
         if member is None or not member.per_second:
             return False
         rate = member.rate * max(0.0, 1 - (now - member.seen) / RATE_SPAN) / (RATE_SPAN / 10000)
-        return rate * self.terms.nodes > member.per_second
+        return rate * self.terms.nodes > OVER_SHARE * member.per_second
 
     # The rotation.
 
