--- a/pierglade/benchlink/link.py
+++ b/pierglade/benchlink/link.py
@@ -37,6 +37,7 @@
         for i, o in enumerate(conf["offerings"])]
     members = [r.Member(m["name"], float(m.get("quotaPerS") or 0)) for m in conf.get("customers") or []]
     limits, contract = conf["limits"], conf["contract"]
+    goal = {k: v for k, v in (conf.get("goal") or {}).items() if k != "tailMiss"}
     return r.Terms(
         offerings=offerings, members=members, me=conf.get("me") or 0, nodes=max(1, conf.get("siblings") or 1),
         most_trips=limits.get("mostTrips") or 1, may_cancel=bool(limits.get("mayCancel")),
@@ -45,7 +46,8 @@
         marks_repeats=bool((conf.get("clientHabits") or {}).get("marksRetry")),
         drain_grace=down(contract.get("drainGraceUs") or 0), cold_for=up(contract.get("coldUs") or 0),
         cold_from=float(contract.get("startCapacity") or 1), tip_multiple=float(contract.get("tipMultiple") or 1),
-        tip_window=up(contract.get("fallUs") or 0))
+        tip_window=up(contract.get("fallUs") or 0),
+        worst_offering=goal.get("worstClass", 0) / (sum(goal.values()) or 1))
 
 
 class Seat:
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -53,6 +53,8 @@
 OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
 GHOST = 1.0             # times typical; how long a trip that nobody waits for still counts as in flight
+WAITED = 0.1            # share of the expected time
+FADE = 0.9975           # share left of what was asked and settled after each sweep: about 20 s are seen
 SWEEP = 500             # 50 ms; looking for silence costs little at this pace and finds it within one answer
 FORGET = 600000         # 60 s; a gone backend's index is used again after this, beyond any hard limit
 COME_BACK = 5000        # 0.5 s; advice to a bounced client under overload, the time a burst takes to pass
@@ -73,6 +75,8 @@
         # What differs by offering, a row each.
         # Smoothed latency. A first answer alone is a poor guide: by a very quick one all would look silent.
         self.typical = [FIRST_TYPICAL * o.expected for o in terms.offerings]
+        self.asked = [0.0] * len(terms.offerings)           # first tries taken lately
+        self.got = [0.0] * len(terms.offerings)             # settled lately within the expected time
         self.answers = [2] * len(terms.offerings)           # how many it rests on; the first guess counts as two
         self.usual_left = [0] * len(terms.offerings)        # the time that a client's first try comes with
         self.usual_votes = [0] * len(terms.offerings)       # how sure that is
@@ -91,7 +95,8 @@
         self.turn, self.at = [], 0
         self.slow_ones = 0
         # What is held and out.
-        self.held = [], []          # first tries, repeats: heaps of (moment expected, count, invocation)
+        # Heaps of (moment of the expected time, count, invocation): one an offering, then one for its repeats.
+        self.held = [[] for _ in terms.offerings * 2]
         self.line = deque()         # the same in order of arrival, some already gone
         self.count = 0
         self.again = []             # invocations that wait for a further trip
@@ -155,7 +160,9 @@
         invocation.expected = now + self._time_left(invocation)
         self.count += 1
         # By expected time, not by arrival: a client's repeat has less time left than those taken before it.
-        heappush(self.held[invocation.repeat], (invocation.expected, self.count, invocation))
+        o = invocation.offering.index
+        self.asked[o] += not invocation.repeat
+        heappush(self.held[o + invocation.repeat * len(self.typical)], (invocation.expected, self.count, invocation))
         self.line.append(invocation)
 
     def _time_left(self, invocation):
@@ -196,6 +203,8 @@
             return
         if done:
             invocation.over = True
+            if outcome == SETTLED and now <= invocation.expected:
+                self.got[invocation.offering.index] += 1
             self._call_off_rest(invocation)
         elif not invocation.out:
             self._after_loss(now, invocation, outcome)
@@ -244,23 +253,21 @@
             if b is not None:
                 self.again.remove(invocation)
                 return self._send(invocation, b, now)
-        # Repeats go after first tries: how much of their expected time is left is not known.
+        while (queue := self._next_queue()) is not None:
+            invocation = queue[0][2]
+            if (self._hopeless(invocation, now)
+                    or now - invocation.held > PATIENCE * invocation.offering.expected):
+                # Held so long, it would come out of the backend late: an early no leaves room for the others.
+                heappop(queue)
+                return self._final(invocation)
+            b = self._choose(invocation, now) if self.busy < self.each * self.sound else None
+            if b is None:
+                break
+            heappop(queue)
+            return self._send(invocation, b, now)
         for queue in self.held:
-            while queue:
-                invocation = queue[0][2]
-                if invocation.over:
-                    heappop(queue)
-                elif (self._hopeless(invocation, now)
-                      or now - invocation.held > PATIENCE * invocation.offering.expected):
-                    # Held so long, it would come out of the backend late: an early no leaves room for the others.
-                    heappop(queue)
-                    return self._final(invocation)
-                else:
-                    b = self._choose(invocation, now) if self.busy < self.each * self.sound else None
-                    if b is None:
-                        break
-                    heappop(queue)
-                    return self._send(invocation, b, now)
+            if queue and self._hopeless(queue[0][2], now):
+                return self._final(heappop(queue)[2])
         if self.probes:
             return PROBE, self.probes.popleft()
         return None
@@ -331,13 +338,37 @@
 
     # Holding.
 
+    def _next_queue(self):
+        """First tries before repeats, whose time left is not known; the offering next that gains most by it."""
+        best = None
+        for place, queue in enumerate(self.held):
+            while queue and queue[0][2].over:
+                heappop(queue)
+            if queue:
+                o = place % len(self.typical)
+                rank = (place >= len(self.typical), -self._gain(o) if self.overloaded else queue[0][0])
+                if best is None or rank < least:
+                    best, least = queue, rank
+        return best
+
+    def _gain(self, o):
+        """What one more settled invocation of an offering adds to the service, for each unit of time."""
+        rows, asked = self.terms.offerings, self.asked
+        shares = [got / max(a, 1.0) for got, a in zip(self.got, asked)]
+        gain = (1 - self.terms.worst_offering) * rows[o].credit / sum(
+            row.credit * max(a, 1.0) for row, a in zip(rows, asked))
+        if shares[o] == min(shares):
+            gain += self.terms.worst_offering / max(asked[o], 1.0)
+        return gain / self.typical[o]
+
     def _relieve(self, now):
         """Overload is told by the oldest held wait; what members ask beyond their share goes first."""
         line = self.line
         while line and (line[0].over or line[0].trips):
             line.popleft()
-        self.overloaded = bool(line) and now - line[0].held > PATIENCE * line[0].offering.expected
-        if self.overloaded:
+        waited = (now - line[0].held) / line[0].offering.expected if line else 0.0
+        self.overloaded = waited > WAITED
+        if waited > PATIENCE:
             for invocation in line:
                 if not (invocation.over or invocation.trips) and self._over_share(invocation.member, now):
                     self.finals.append(self._final(invocation))
@@ -522,6 +553,8 @@
     def _sweep(self, now):
         self.sweep_at = now + SWEEP
         self._relieve(now)
+        self.asked = [a * FADE for a in self.asked]
+        self.got = [g * FADE for g in self.got]
         for b in range(len(self.names)):
             if self.out[b]:
                 self._listen(b, now)
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -68,6 +68,7 @@
     cold_from: float
     tip_multiple: float
     tip_window: int
+    worst_offering: float   # weight of the worst-served offering in what counts as service
 
 
 @dataclass(slots=True)
