--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -90,7 +90,7 @@
         self.trouble, self.since, self.until, self.relapses = [], [], [], []
         self.trial_at, self.trial_gap, self.trial_due, self.trials_out = [], [], [], []
         self.work, self.samples, self.sums, self.window = [], [], [], []
-        self.pauses, self.mean_pause, self.forecast = [], [], []
+        self.pauses, self.mean_pause, self.work_due, self.forecast = [], [], [], []
         # The rotation.
         self.turn, self.at = [], 0
         self.slow_ones = 0
@@ -426,7 +426,7 @@
                 if now <= forecast + self.mean_pause[b]:
                     return "forecast"
                 # No pause came: the forecast is set aside until one does, so it cannot starve the backend.
-                self.forecast[b] = None
+                self.forecast[b] = self.work_due[b] = None
         return None
 
     def _is_trial(self, invocation, b):
@@ -607,13 +607,15 @@
             sums[1] -= old_now
             sums[2] -= old_work * old_work
             sums[3] -= old_work * old_now
+        if self.work_due[b] is not None:
+            self._project(b)
 
     def _pause(self, b, lasted):
         """A pause has ended: it enters the regressions, the band is checked, the next one is forecast."""
         self.mean_pause[b] += (lasted - self.mean_pause[b]) // 4
         pauses = self.pauses[b]
         pauses.append(self.work[b])
-        self.forecast[b] = None
+        self.forecast[b] = self.work_due[b] = None
         if len(pauses) < PAUSES_NEEDED:
             return
         gaps = [after - before for before, after in zip(pauses, list(pauses)[1:])]
@@ -626,13 +628,17 @@
         numbers, total = count * (count - 1) // 2, sum(pauses)
         slope = ((count * sum(n * w for n, w in enumerate(pauses)) - numbers * total)
                  / (count * sum(n * n for n in range(count)) - numbers * numbers))
-        work_then = (total - slope * numbers) / count + slope * count
+        self.work_due[b] = (total - slope * numbers) / count + slope * count
+        self._project(b)
+
+    def _project(self, b):
+        """When the work is reached at which the next pause is due."""
         count = len(self.samples[b])
         works, times, squares, products = self.sums[b]
         ground = count * squares - works * works
         if ground > 0:
             slope = (count * products - works * times) / ground
-            self.forecast[b] = int((times - slope * works) / count + slope * work_then)
+            self.forecast[b] = int((times - slope * works) / count + slope * self.work_due[b])
 
     # The list.
 
@@ -653,7 +659,8 @@
                                  (self.trial_at, 0), (self.trial_gap, TRIAL_GAP), (self.trial_due, False),
                                  (self.trials_out, 0), (self.work, 0), (self.samples, None), (self.sums, None),
                                  (self.window, WINDOW_MEDIUM), (self.pauses, None),
-                                 (self.mean_pause, FIRST_PAUSE), (self.forecast, None)):
+                                 (self.mean_pause, FIRST_PAUSE), (self.work_due, None),
+                                 (self.forecast, None)):
                 array.append(first)
             self.out[b] = {}
         self.index[name] = b
@@ -664,7 +671,7 @@
     def _forget_history(self, b):
         """A process that has started anew pauses anew."""
         self.work[b], self.samples[b], self.sums[b] = 0, deque(), [0, 0, 0, 0]
-        self.pauses[b], self.forecast[b] = deque(maxlen=PAUSES_KEPT), None
+        self.pauses[b], self.work_due[b], self.forecast[b] = deque(maxlen=PAUSES_KEPT), None, None
         self.window[b], self.mean_pause[b] = WINDOW_MEDIUM, FIRST_PAUSE
 
     def _leave(self, b, state, now):
