--- a/pierglade/benchlink/link.py
+++ b/pierglade/benchlink/link.py
@@ -33,20 +33,19 @@
     offerings = [
         r.Offering(i, o["name"], REPEATS[o["idempotency"]], o.get("group") or "all",
                    down(o.get("repeatWindowUs") or 0), down(o["expectedTimeUs"]), down(o["hardLimitUs"]),
-                   float(o.get("credit", 1)), bool(o.get("stream")))
+                   float(o.get("credit", 1)))
         for i, o in enumerate(conf["offerings"])]
     members = [r.Member(m["name"], float(m.get("quotaPerS") or 0)) for m in conf.get("customers") or []]
     limits, contract = conf["limits"], conf["contract"]
     goal = {k: v for k, v in (conf.get("goal") or {}).items() if k != "tailMiss"}
     return r.Terms(
-        offerings=offerings, members=members, me=conf.get("me") or 0, nodes=max(1, conf.get("siblings") or 1),
+        offerings=offerings, members=members, nodes=max(1, conf.get("siblings") or 1),
         most_trips=limits.get("mostTrips") or 1, may_cancel=bool(limits.get("mayCancel")),
-        may_probe=bool(limits.get("probes")), may_copy=bool(limits.get("secondCopies")),
+        may_probe=bool(limits.get("probes")),
         retry_after=down(limits.get("maxRetryAfterUs") or 0) if limits.get("retryAfter") else 0,
         marks_repeats=bool((conf.get("clientHabits") or {}).get("marksRetry")),
-        drain_grace=down(contract.get("drainGraceUs") or 0), cold_for=up(contract.get("coldUs") or 0),
+        cold_for=up(contract.get("coldUs") or 0),
         cold_from=float(contract.get("startCapacity") or 1), tip_multiple=float(contract.get("tipMultiple") or 1),
-        tip_window=up(contract.get("fallUs") or 0),
         worst_offering=goal.get("worstClass", 0) / (sum(goal.values()) or 1))
 
 
@@ -111,8 +110,8 @@
 
     def census(self, fields):
         self.lists[fields["ref"]] = [
-            r.Listed(e["backend"], STATES[e["status"]], e.get("zone"), e.get("cluster"), e.get("familyType"),
-                     e.get("powerHint") or 1.0, down(e.get("sinceUs") or 0))
+            r.Listed(e["backend"], STATES[e["status"]], e.get("zone"), e.get("cluster"),
+                     down(e.get("sinceUs") or 0))
             for e in fields["entries"]]
 
     def boot(self, fields):
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -12,8 +12,8 @@
 from heapq import heappop, heappush
 
 from pierglade.records import (
-    BOUNCE, CALL_OFF, CALLED_OFF, GIVE_UP, GONE, HARMLESS, NEVER_RAN, NEVER_SENT, ONE_SHOT, PROBE, READY, SEND,
-    SETTLED, STAMPED, TIMED_OUT, TURNED_AWAY, UNREACHABLE, Trip)
+    BOUNCE, CALL_OFF, CALLED_OFF, GIVE_UP, GONE, HARMLESS, NEVER_RAN, NEVER_SENT, ONE_SHOT, PROBE, READY,
+    SEND, SETTLED, STAMPED, TIMED_OUT, TURNED_AWAY, UNREACHABLE, Trip)
 
 # Constants. Times are tenths of a millisecond.
 WINDOW_LOW, WINDOW_MEDIUM, WINDOW_HIGH = 3000, 300, 30   # samples; the design's forecast windows by band
@@ -23,20 +23,20 @@
 LONGEST_PAUSE = 15000   # 1.5 s; a longer stretch is an outage and teaches the forecast nothing
 REST_MOST = 50000       # 5 s; longest that a slow backend is left alone before it is tried in earnest
 FIRST_PAUSE = 2000      # 200 ms; mean pause assumed before one was seen, that of a long collection
-FAR = 2.5               # times; quick latency this far above its smoothed level is a pause, over a spread-out tail
+FAR = 2.5               # times; quick latency this far above its smoothed level is a pause, above a wide tail
 GOOD = 2.0              # times; an answer within this of the level ends a pause, under FAR so it cannot flap
 RATIO_CAP = 6.0         # times; one answer counts as no slower, so that one heavy invocation is no pause
 QUICK, LEVEL = 1 / 4, 1 / 32    # shares of a new answer in the quick and in the smoothed level
-FIRST_TYPICAL = 0.25    # share of the expected time; a latency that users call good leaves room for a further trip
-TYPICAL = 1 / 24        # share of a new answer in an offering's typical latency: about a second's worth at a node
+FIRST_TYPICAL = 0.25    # share of the expected time; leaves room for a further trip
+TYPICAL = 1 / 24        # share of a new answer in an offering's typical latency: about a second's worth
 ERRORS = 0.3            # share of a new outcome in the error level
 ERRORS_BAD, ERRORS_GOOD = 0.4, 0.2  # levels; two errors in a row start an outage, three good answers end it
-SILENT = 5.0            # times typical, summed over the trips out; chance silence of a healthy backend is rarer
+SILENT = 5.0            # times typical, summed over the trips out; chance silence is rarer
 SILENT_LEAST = 2.0      # times typical; one slow service must not look silent however many wait behind it
-TRIAL_GAP, TRIAL_GAP_MOST = 1500, 10000   # 150 ms, 1 s; from one trial to the next, doubled after each bad one
+TRIAL_GAP, TRIAL_GAP_MOST = 1500, 10000   # 150 ms, 1 s; between trials, doubled after each bad one
 CROWD = 1.0             # times the mean in flight; far more than chance piles up on one backend
 CROWD_FLOOR = 0.5       # trips; below this much over the mean nothing is crowded
-STRAIN = 0.75            # share of the expected time; answers slower than this mean that the fleet is filling up
+STRAIN = 0.75           # share of the expected time; slower answers mean that the fleet is filling up
 STRAINED = 0.05         # share of answers that may be so slow before fewer trips are let out
 LIMIT_STEP = 0.5        # trips; how fast the limit on trips out follows
 LIMIT_LEAST = 2.5       # trips a backend, of all nodes together; it works on some while others wait or travel
@@ -44,16 +44,16 @@
 EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
 EXTRA_MOST = 20.0       # further trips saved up, for a burst of losses when a backend dies
 HOPELESS = 1.0          # times typical; with less time than this left, more than half would come too late
-HOPELESS_LEAST = 100    # 10 ms; the host may act only every few ms, and the answer must be out before the limit
-USUAL = 0.02            # share; a try that comes with this much less than first tries was cut by the hard limit
-VOTES_MOST = 50         # tries; how many of another kind it takes to change what is usual, about a second's worth
-PATIENCE = 0.3          # share of the expected time; an oldest held wait beyond it is overload
+HOPELESS_LEAST = 100    # 10 ms; a host acts every few ms, and the answer must be out before the limit
+USUAL = 0.02            # share; a try with this much less time than first ones was cut by the hard limit
+VOTES_MOST = 50         # tries; how many it takes to change what is usual, about a second's worth
+PATIENCE = 0.3          # share of the expected time; held for longer, it is bounced, and members over their share with it
 COLD_MARGIN = 0.6       # share of the cold budget used; the rest is for uneven nodes, machines and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
 OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
 GHOST = 1.0             # times typical; how long a trip that nobody waits for still counts as in flight
-WAITED = 0.1            # share of the expected time
+WAITED = 0.1            # share of the expected time; an oldest held wait beyond it ranks what is held by gain
 FADE = 0.9975           # share left of what was asked and settled after each sweep: about 20 s are seen
 SWEEP = 500             # 50 ms; looking for silence costs little at this pace and finds it within one answer
 FORGET = 600000         # 60 s; a gone backend's index is used again after this, beyond any hard limit
@@ -64,6 +64,20 @@
 COUNTED = (None, SLOW)  # trips on the others come to nothing and must not use up the limit
 
 
+class Row:
+    """What a node knows of one offering; the table has a row for each."""
+
+    def __init__(self, offering):
+        self.credit = offering.credit
+        # Smoothed latency. A first answer alone is a poor guide: by a very quick one all would look silent.
+        self.typical = FIRST_TYPICAL * offering.expected
+        self.answers = 2        # how many that rests on; the first guess counts as two
+        self.asked = 0.0        # first tries taken lately
+        self.got = 0.0          # settled lately within the expected time
+        self.usual_left = 0     # the time that a client's first try comes with
+        self.usual_votes = 0    # how sure that is
+
+
 class Node:
     """One balancer: what it knows of its backends, and what it holds."""
 
@@ -72,14 +86,7 @@
         chance = random.Random(seed)
         self.pick = chance.randrange
         self.trial_kinds = (HARMLESS,) if any(o.repeats == HARMLESS for o in terms.offerings) else (STAMPED,)
-        # What differs by offering, a row each.
-        # Smoothed latency. A first answer alone is a poor guide: by a very quick one all would look silent.
-        self.typical = [FIRST_TYPICAL * o.expected for o in terms.offerings]
-        self.asked = [0.0] * len(terms.offerings)           # first tries taken lately
-        self.got = [0.0] * len(terms.offerings)             # settled lately within the expected time
-        self.answers = [2] * len(terms.offerings)           # how many it rests on; the first guess counts as two
-        self.usual_left = [0] * len(terms.offerings)        # the time that a client's first try comes with
-        self.usual_votes = [0] * len(terms.offerings)       # how sure that is
+        self.table = [Row(o) for o in terms.offerings]
         # What is known of each backend, under a dense index.
         self.index = {}
         self.names, self.state, self.zone, self.cell = [], [], [], []
@@ -161,21 +168,22 @@
         self.count += 1
         # By expected time, not by arrival: a client's repeat has less time left than those taken before it.
         o = invocation.offering.index
-        self.asked[o] += not invocation.repeat
-        heappush(self.held[o + invocation.repeat * len(self.typical)], (invocation.expected, self.count, invocation))
+        self.table[o].asked += not invocation.repeat
+        heappush(self.held[o + invocation.repeat * len(self.table)], (invocation.expected, self.count, invocation))
         self.line.append(invocation)
 
     def _time_left(self, invocation):
         """How much of the expected time is left, which runs from the client's first try."""
         offering, left = invocation.offering, invocation.limit - invocation.arrived
-        o, usual = offering.index, self.usual_left[offering.index]
+        row = self.table[offering.index]
+        usual = row.usual_left
         if not invocation.repeat:
             # A vote, not the longest seen: some repeats come with more time than first tries do, and by these
             # all first tries would look late.
-            self.usual_votes[o] += 1 if abs(left - usual) <= USUAL * usual else -1
-            if self.usual_votes[o] < 0:
-                self.usual_left[o], self.usual_votes[o] = left, 1
-            self.usual_votes[o] = min(self.usual_votes[o], VOTES_MOST)
+            row.usual_votes += 1 if abs(left - usual) <= USUAL * usual else -1
+            if row.usual_votes < 0:
+                row.usual_left, row.usual_votes = left, 1
+            row.usual_votes = min(row.usual_votes, VOTES_MOST)
             if self.terms.marks_repeats:
                 return min(left, offering.expected)
         # Less time than first tries bring shows a late repeat, whose expected time may be over: worked on
@@ -191,7 +199,7 @@
         # A trip that is no longer waited for may still be worked on, and keeps its place in flight for as long
         # as that is likely to take: filled at once, the place would overdrive the backend.
         if outcome == TIMED_OUT or outcome == CALLED_OFF:
-            trip.until = now + int(GHOST * self.typical[invocation.offering.index])
+            trip.until = now + int(GHOST * self.table[invocation.offering.index].typical)
         else:
             self._leave_flight(b, trip)
         if trip.trial:
@@ -204,7 +212,7 @@
         if done:
             invocation.over = True
             if outcome == SETTLED and now <= invocation.expected:
-                self.got[invocation.offering.index] += 1
+                self.table[invocation.offering.index].got += 1
             self._call_off_rest(invocation)
         elif not invocation.out:
             self._after_loss(now, invocation, outcome)
@@ -313,7 +321,7 @@
 
     def _last_chance(self, invocation):
         """The moment from which a trip would no longer come back by the expected time."""
-        typical = self.typical[invocation.offering.index]
+        typical = self.table[invocation.offering.index].typical
         return invocation.expected - max(HOPELESS_LEAST, int(HOPELESS * typical))
 
     def _after_loss(self, now, invocation, outcome):
@@ -345,21 +353,19 @@
             while queue and queue[0][2].over:
                 heappop(queue)
             if queue:
-                o = place % len(self.typical)
-                rank = (place >= len(self.typical), -self._gain(o) if self.overloaded else queue[0][0])
+                row = self.table[place % len(self.table)]
+                rank = (place >= len(self.table), -self._gain(row) if self.overloaded else queue[0][0])
                 if best is None or rank < least:
                     best, least = queue, rank
         return best
 
-    def _gain(self, o):
+    def _gain(self, row):
         """What one more settled invocation of an offering adds to the service, for each unit of time."""
-        rows, asked = self.terms.offerings, self.asked
-        shares = [got / max(a, 1.0) for got, a in zip(self.got, asked)]
-        gain = (1 - self.terms.worst_offering) * rows[o].credit / sum(
-            row.credit * max(a, 1.0) for row, a in zip(rows, asked))
-        if shares[o] == min(shares):
-            gain += self.terms.worst_offering / max(asked[o], 1.0)
-        return gain / self.typical[o]
+        gain = (1 - self.terms.worst_offering) * row.credit / sum(
+            each.credit * max(each.asked, 1.0) for each in self.table)
+        if row is min(self.table, key=lambda each: each.got / max(each.asked, 1.0)):
+            gain += self.terms.worst_offering / max(row.asked, 1.0)
+        return gain / row.typical
 
     def _relieve(self, now):
         """Overload is told by the oldest held wait; what members ask beyond their share goes first."""
@@ -421,7 +427,7 @@
             return "crowded"
         forecast = self.forecast[b]
         if forecast is not None:
-            threshold = self.typical[invocation.offering.index] * self.level[b]
+            threshold = self.table[invocation.offering.index].typical * self.level[b]
             if forecast - threshold <= now:
                 if now <= forecast + self.mean_pause[b]:
                     return "forecast"
@@ -466,17 +472,16 @@
     # Server health.
 
     def _learn(self, now, trip, outcome, took):
-        b, o = trip.backend, trip.invocation.offering.index
+        b, row = trip.backend, self.table[trip.invocation.offering.index]
         if outcome == SETTLED:
             self.last_answer[b] = now
             self.errors[b] *= 1 - ERRORS
-            typical = self.typical[o]
-            ratio = min(RATIO_CAP, took / typical)
+            ratio = min(RATIO_CAP, took / row.typical)
             self.quick[b] += (ratio - self.quick[b]) * QUICK
             level = max(self.level[b], 1.0)
             if self.trouble[b] is None:
-                self.answers[o] += 1
-                self.typical[o] = typical + (took - typical) * max(TYPICAL, 1 / self.answers[o])
+                row.answers += 1
+                row.typical += (took - row.typical) * max(TYPICAL, 1 / row.answers)
                 self.level[b] += (ratio - self.level[b]) * LEVEL
                 self._sample(b, now)
                 self._follow_strain(trip, now)
@@ -553,8 +558,9 @@
     def _sweep(self, now):
         self.sweep_at = now + SWEEP
         self._relieve(now)
-        self.asked = [a * FADE for a in self.asked]
-        self.got = [g * FADE for g in self.got]
+        for row in self.table:
+            row.asked *= FADE
+            row.got *= FADE
         for b in range(len(self.names)):
             if self.out[b]:
                 self._listen(b, now)
@@ -577,7 +583,7 @@
             return
         oldest = next(iter(trips))
         quiet = now - max(self.last_answer[b], oldest.sent)
-        typical = self.typical[oldest.invocation.offering.index] * max(self.level[b], 1.0)
+        typical = self.table[oldest.invocation.offering.index].typical * max(self.level[b], 1.0)
         if quiet < SILENT_LEAST * typical or quiet * len(trips) < SILENT * typical:
             return
         if self.trouble[b] is not SILENCE:
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -38,7 +38,6 @@
     expected: int       # the expected time
     hard_limit: int
     credit: float
-    stream: bool = False
 
 
 @dataclass(slots=True)
@@ -55,19 +54,15 @@
     """The settings as received, in our words."""
     offerings: list
     members: list
-    me: int
     nodes: int
     most_trips: int
     may_cancel: bool
     may_probe: bool
-    may_copy: bool      # a second trip may be out beside the first
     retry_after: int    # longest wait that clients follow; 0 where they are told none
     marks_repeats: bool # clients mark their repeats
-    drain_grace: int
     cold_for: int
     cold_from: float
     tip_multiple: float
-    tip_window: int
     worst_offering: float   # weight of the worst-served offering in what counts as service
 
 
@@ -78,8 +73,6 @@
     state: str
     zone: str
     cell: object
-    kind: str
-    weight: float
     started: int        # 0: long ago
 
 
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -16,15 +16,15 @@
     offerings = [r.Offering(0, "look", r.HARMLESS, "all", 0, 400 * MS, 1000 * MS, 1.0),
                  r.Offering(1, "hold", r.STAMPED, "zone", 300 * MS, 400 * MS, 1000 * MS, 3.0),
                  r.Offering(2, "pay", r.ONE_SHOT, "all", 0, 400 * MS, 1000 * MS, 8.0)]
-    known = dict(offerings=offerings, members=[r.Member("north", 20.0), r.Member("south", 500.0)], me=0, nodes=1,
-                 most_trips=3, may_cancel=True, may_probe=True, may_copy=False, retry_after=0, marks_repeats=False,
-                 drain_grace=500 * MS, cold_for=8000 * MS, cold_from=0.25, tip_multiple=4.0, tip_window=1000 * MS, worst_offering=0.2)
+    known = dict(offerings=offerings, members=[r.Member("north", 20.0), r.Member("south", 500.0)], nodes=1,
+                 most_trips=3, may_cancel=True, may_probe=True, retry_after=0, marks_repeats=False,
+                 cold_for=8000 * MS, cold_from=0.25, tip_multiple=4.0, worst_offering=0.2)
     known.update(changed)
     return r.Terms(**known)
 
 
 def listed(name, state=r.READY, zone="east", started=0):
-    return r.Listed(name, state, zone, 0, "box", 1.0, started)
+    return r.Listed(name, state, zone, 0, started)
 
 
 class Scene:
@@ -53,8 +53,9 @@
         self.now = end
         self.pull()
 
-    def take(self, name, offering=0, left=1000, member=None):
-        invocation = r.Invocation(name, self.terms.offerings[offering], member, self.now, self.now + left * MS)
+    def take(self, name, offering=0, left=1000, member=None, repeat=False):
+        invocation = r.Invocation(name, self.terms.offerings[offering], member, self.now, self.now + left * MS,
+                                  repeat)
         self.invocations[name] = invocation
         self.node.taken(self.now, invocation)
         self.pull()
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -176,6 +176,27 @@
         scene.after(300)
         self.check("overload", scene.lines)
 
+    def test_what_gains_most_goes_first(self):
+        scene = Scene(["b0"])
+        for n in range(4):
+            scene.take(f"out{n}")
+        for n in range(4):
+            scene.take(f"look{n}")
+            scene.take(f"pay{n}", 2)
+        scene.after(60)
+        for n in range(4):
+            scene.end(f"out{n}", note=False)
+        self.check("gain", scene.lines)
+
+    def test_repeats_go_after_first_tries(self):
+        scene = Scene(["b0"], marks_repeats=True)
+        for n in range(4):
+            scene.take(f"out{n}")
+        scene.take("repeat", repeat=True)
+        scene.take("first")
+        scene.end("out0", note=False)
+        self.check("repeats_last", scene.lines)
+
     def test_the_client_goes(self):
         scene = Scene(["b0"])
         scene.take("a")
