--- a/pierglade/benchlink/link.py
+++ b/pierglade/benchlink/link.py
@@ -45,7 +45,8 @@
         retry_after=down(limits.get("maxRetryAfterUs") or 0) if limits.get("retryAfter") else 0,
         marks_repeats=bool((conf.get("clientHabits") or {}).get("marksRetry")),
         cold_for=up(contract.get("coldUs") or 0),
-        cold_from=float(contract.get("startCapacity") or 1), tip_multiple=float(contract.get("tipMultiple") or 1),
+        cold_from=float(contract.get("startCapacity") or 1),
+        tip_multiple=float(contract.get("tipMultiple") or 1),
         worst_offering=goal.get("worstClass", 0) / (sum(goal.values()) or 1))
 
 
@@ -78,7 +79,8 @@
         self.handlers = {
             "Sync": self.sync, "OverToYou": self.reply, "Census": self.census, "Boot": self.boot,
             "Discovery": self.discovery, "Incoming": self.incoming, "NeighbourSays": self.nothing,
-            "Kill": self.kill, "ClientGone": self.client_gone, "Ring": self.ring, "FirstByte": self.first_byte,
+            "Kill": self.kill, "ClientGone": self.client_gone, "Ring": self.ring,
+            "FirstByte": self.first_byte,
             "PingResult": self.ping_result, "Completed": self.completed}
 
     def read(self, line):
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -47,7 +47,7 @@
 HOPELESS_LEAST = 100    # 10 ms; a host acts every few ms, and the answer must be out before the limit
 USUAL = 0.02            # share; a try with this much less time than first ones was cut by the hard limit
 VOTES_MOST = 50         # tries; how many it takes to change what is usual, about a second's worth
-PATIENCE = 0.3          # share of the expected time; held for longer, it is bounced, and members over their share with it
+PATIENCE = 0.3          # share of the expected time; held longer, it is bounced, as is what is over its share
 COLD_MARGIN = 0.6       # share of the cold budget used; the rest is for uneven nodes, machines and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
 OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
@@ -102,7 +102,7 @@
         self.turn, self.at = [], 0
         self.slow_ones = 0
         # What is held and out.
-        # Heaps of (moment of the expected time, count, invocation): one an offering, then one for its repeats.
+        # Heaps of (moment of the expected time, count, invocation): one an offering, then one for repeats.
         self.held = [[] for _ in terms.offerings * 2]
         self.line = deque()         # the same in order of arrival, some already gone
         self.count = 0
@@ -169,7 +169,8 @@
         # By expected time, not by arrival: a client's repeat has less time left than those taken before it.
         o = invocation.offering.index
         self.table[o].asked += not invocation.repeat
-        heappush(self.held[o + invocation.repeat * len(self.table)], (invocation.expected, self.count, invocation))
+        queue = self.held[o + invocation.repeat * len(self.table)]
+        heappush(queue, (invocation.expected, self.count, invocation))
         self.line.append(invocation)
 
     def _time_left(self, invocation):
@@ -196,8 +197,8 @@
         invocation, b = trip.invocation, trip.backend
         trip.outcome = outcome
         invocation.out -= 1
-        # A trip that is no longer waited for may still be worked on, and keeps its place in flight for as long
-        # as that is likely to take: filled at once, the place would overdrive the backend.
+        # A trip that is no longer waited for may still be worked on, and keeps its place in flight as long as
+        # that is likely to take: filled at once, the place would overdrive the backend.
         if outcome == TIMED_OUT or outcome == CALLED_OFF:
             trip.until = now + int(GHOST * self.table[invocation.offering.index].typical)
         else:
@@ -347,7 +348,7 @@
     # Holding.
 
     def _next_queue(self):
-        """First tries before repeats, whose time left is not known; the offering next that gains most by it."""
+        """First tries before repeats, whose time left is not known; next the offering that gains most."""
         best = None
         for place, queue in enumerate(self.held):
             while queue and queue[0][2].over:
@@ -436,7 +437,8 @@
         return None
 
     def _is_trial(self, invocation, b):
-        return self.trial_due[b] and not self.trials_out[b] and invocation.offering.repeats in self.trial_kinds
+        return (self.trial_due[b] and not self.trials_out[b]
+                and invocation.offering.repeats in self.trial_kinds)
 
     def _cold_allows(self, b, now):
         """Rule 4: this node's part of what a cold backend may be sent, from what warm ones are sent."""
@@ -575,7 +577,7 @@
                         self.trial_due[b] = True
 
     def _listen(self, b, now):
-        """A backend that answers nothing for long, with trips out, is silent; what may be is sent elsewhere."""
+        """With trips out and no answer for long, a backend is silent; what may be is sent elsewhere."""
         trips = self.out[b]
         for trip in [t for t in trips if t.outcome and now >= t.until]:
             self._leave_flight(b, trip)
@@ -594,7 +596,8 @@
                 self._next_trial(b, now, worse=True)
             if (invocation.offering.repeats != ONE_SHOT and not trip.called_off and not invocation.over
                     and now - trip.sent > SILENT_LEAST * typical and self.extra >= 1
-                    and not self._hopeless(invocation, now) and len(invocation.trips) < self.terms.most_trips):
+                    and not self._hopeless(invocation, now)
+                    and len(invocation.trips) < self.terms.most_trips):
                 self._call_off(trip)
 
     # The forecast: two regressions, one from pause to work, one from work to time.
@@ -663,7 +666,8 @@
                                  (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
                                  (self.relapses, 0),
                                  (self.trial_at, 0), (self.trial_gap, TRIAL_GAP), (self.trial_due, False),
-                                 (self.trials_out, 0), (self.work, 0), (self.samples, None), (self.sums, None),
+                                 (self.trials_out, 0), (self.work, 0), (self.samples, None),
+                                 (self.sums, None),
                                  (self.window, WINDOW_MEDIUM), (self.pauses, None),
                                  (self.mean_pause, FIRST_PAUSE), (self.work_due, None),
                                  (self.forecast, None)):
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -1,4 +1,4 @@
-"""A node on a hand-moved clock whose decisions are written down, one a line, and compared with a kept trace."""
+"""A node on a hand-moved clock; its decisions are written down and compared with a kept trace."""
 
 import difflib
 import os
@@ -54,8 +54,8 @@
         self.pull()
 
     def take(self, name, offering=0, left=1000, member=None, repeat=False):
-        invocation = r.Invocation(name, self.terms.offerings[offering], member, self.now, self.now + left * MS,
-                                  repeat)
+        limit = self.now + left * MS
+        invocation = r.Invocation(name, self.terms.offerings[offering], member, self.now, limit, repeat)
         self.invocations[name] = invocation
         self.node.taken(self.now, invocation)
         self.pull()
@@ -106,7 +106,7 @@
 
 class TraceTest(unittest.TestCase):
     def check(self, name, lines):
-        """Compares with tests/traces/NAME.txt; with RETRACE=1 in the environment the trace is written anew."""
+        """Compares with tests/traces/NAME.txt; with RETRACE=1 in the environment, writes it anew."""
         path = TRACES / f"{name}.txt"
         if os.environ.get("RETRACE"):
             path.write_text("\n".join(lines) + "\n")
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -8,11 +8,12 @@
 from pierglade.benchlink.link import Link, Malformed
 from tests.scene import TraceTest
 
-CONF = {"offerings": [{"name": "look", "idempotency": "free", "expectedTimeUs": 400000, "hardLimitUs": 1000000,
-                       "unknown": 1},
+CONF = {"offerings": [{"name": "look", "idempotency": "free", "expectedTimeUs": 400000,
+                       "hardLimitUs": 1000000, "unknown": 1},
                       {"name": "pay", "idempotency": "single_shot", "expectedTimeUs": 400000,
                        "hardLimitUs": 1000000}],
-        "limits": {"mostTrips": 2, "mayCancel": True}, "contract": {"coldUs": 8000050}, "siblings": 2, "new": {}}
+        "limits": {"mostTrips": 2, "mayCancel": True},
+        "contract": {"coldUs": 8000050}, "siblings": 2, "new": {}}
 BACKENDS = [{"backend": f"10.0.0.{n}:80", "status": "Ready", "cluster": 0, "zone": "z", "sinceUs": None,
              "powerHint": 1, "familyType": "box"} for n in (1, 2)]
 SESSION = [
@@ -23,10 +24,11 @@
     {"Sync": {"wallUs": 7050}},
     {"Incoming": {"who": "node_1", "call": 11, "marks": 0, "leftUs": 500099, "item": None, "grade": "look",
                   "party": None, "hintUs": None, "odd": True}},
-    {"Incoming": {"who": "node_1", "call": 12, "marks": 0, "leftUs": 500099, "grade": "pay"}}, {"OverToYou": {}},
+    {"Incoming": {"who": "node_1", "call": 12, "marks": 0, "leftUs": 500099, "grade": "pay"}},
+    {"OverToYou": {}},
     {"Sync": {"wallUs": 12000}},
-    {"Completed": {"who": "node_1", "call": 11, "sendNo": 0, "backend": "10.0.0.1:80", "reason": "unreachable",
-                   "durationUs": 4950, "doneFlag": False, "gauge": None}},
+    {"Completed": {"who": "node_1", "call": 11, "sendNo": 0, "backend": "10.0.0.1:80",
+                   "reason": "unreachable", "durationUs": 4950, "doneFlag": False, "gauge": None}},
     {"Completed": {"who": "node_1", "call": 12, "sendNo": 0, "backend": "10.0.0.1:80", "reason": "broken",
                    "durationUs": 4950, "doneFlag": False, "gauge": None}},
     {"ClientGone": {"who": "node_1", "call": 99}}, {"Ring": {"who": "node_1", "mark": "forgotten"}},
@@ -50,8 +52,8 @@
         self.check("session", run(SESSION))
 
     def test_malformed(self):
-        for line in (b"{", b"[]", b"3", b'{"Sync":{"wallUs":1},"OverToYou":{}}', b'{"Surprise":{}}', b'{"Sync":{}}',
-                     b'{"Sync":3}', b'{"Discovery":{"ref":0}}'):
+        for line in (b"{", b"[]", b"3", b'{"Sync":{"wallUs":1},"OverToYou":{}}', b'{"Surprise":{}}',
+                     b'{"Sync":{}}', b'{"Sync":3}', b'{"Discovery":{"ref":0}}'):
             with self.subTest(line), self.assertRaises(Malformed):
                 Link(io.BytesIO()).read(line)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -91,7 +91,8 @@
 class Rules(TraceTest):
     def test_each_offering_after_each_outcome(self):
         lines = []
-        for outcome in (r.TURNED_AWAY, r.UNREACHABLE, r.NEVER_SENT, r.ERROR, r.BROKEN, r.TIMED_OUT, r.CALLED_OFF):
+        for outcome in (r.TURNED_AWAY, r.UNREACHABLE, r.NEVER_SENT,
+                        r.ERROR, r.BROKEN, r.TIMED_OUT, r.CALLED_OFF):
             for offering, name in enumerate(("harmless", "stamped", "one-shot")):
                 scene = Scene(["b0", "b1", listed("w0", zone="west")])
                 scene.take(name, offering)
