--- a/pierglade/benchlink/link.py
+++ b/pierglade/benchlink/link.py
@@ -41,7 +41,7 @@
     return r.Terms(
         offerings=offerings, members=members, nodes=max(1, conf.get("siblings") or 1),
         most_trips=limits.get("mostTrips") or 1, may_cancel=bool(limits.get("mayCancel")),
-        may_probe=bool(limits.get("probes")), may_copy=bool(limits.get("secondCopies")),
+        may_probe=bool(limits.get("probes")),
         retry_after=down(limits.get("maxRetryAfterUs") or 0) if limits.get("retryAfter") else 0,
         marks_repeats=bool((conf.get("clientHabits") or {}).get("marksRetry")),
         cold_for=up(contract.get("coldUs") or 0),
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -55,7 +55,6 @@
 GHOST = 1.0             # times typical; how long a trip that nobody waits for still counts as in flight
 WAITED = 0.1            # share of the expected time; an oldest held wait beyond it ranks what is held by gain
 FADE = 0.9975           # share left of what was asked and settled after each sweep: about 20 s are seen
-COPY = 2.0              # times typical; a trip that takes longer gets a second one beside it
 SWEEP = 500             # 50 ms; looking for silence costs little at this pace and finds it within one answer
 FORGET = 600000         # 60 s; a gone backend's index is used again after this, beyond any hard limit
 COME_BACK = 5000        # 0.5 s; advice to a bounced client under overload, the time a burst takes to pass
@@ -216,7 +215,7 @@
             if outcome == SETTLED and now <= invocation.expected:
                 self.table[invocation.offering.index].got += 1
             self._call_off_rest(invocation)
-        elif not invocation.out and invocation not in self.again:
+        elif not invocation.out:
             self._after_loss(now, invocation, outcome)
 
     def _leave_flight(self, b, trip):
@@ -253,7 +252,7 @@
         if self.finals:
             return self.finals.popleft()
         for invocation in self.again:
-            if invocation.over or invocation.out and self._hopeless(invocation, now):
+            if invocation.over:
                 self.again.remove(invocation)
                 return self.decide(now)
             if self._hopeless(invocation, now):
@@ -298,9 +297,7 @@
 
     def _may_send(self, invocation, b, now):
         """Rule 2 in one place: may this invocation go to this backend, after what its trips have proved?"""
-        if now >= invocation.limit or len(invocation.trips) >= self.terms.most_trips:
-            return False
-        if invocation.out and not (self.terms.may_copy and invocation.offering.repeats == HARMLESS):
+        if now >= invocation.limit or len(invocation.trips) >= self.terms.most_trips or invocation.out:
             return False
         risky = invocation.risky
         if risky is None or invocation.offering.repeats == HARMLESS:
@@ -569,8 +566,6 @@
         for b in range(len(self.names)):
             if self.out[b]:
                 self._listen(b, now)
-                if self.terms.may_copy and not self.overloaded:
-                    self._copy(b, now)
             if self.trouble[b] is not None and self.state[b] == READY:
                 if self.trouble[b] is SLOW and now >= self.until[b]:
                     self._end(b, now, well=False)
@@ -581,18 +576,6 @@
                     else:
                         self.trial_due[b] = True
 
-    def _copy(self, b, now):
-        """A harmless trip that takes long gets a second one beside it, where that is allowed."""
-        for trip in self.out[b]:
-            invocation = trip.invocation
-            typical = self.table[invocation.offering.index].typical
-            if (invocation.offering.repeats == HARMLESS and trip.outcome is None and not invocation.over
-                    and len(invocation.trips) == 1 and now - trip.sent > COPY * typical
-                    and self.extra >= 1 and not self._hopeless(invocation, now)
-                    and invocation not in self.again):
-                self.extra -= 1
-                self.again.append(invocation)
-
     def _listen(self, b, now):
         """With trips out and no answer for long, a backend is silent; what may be is sent elsewhere."""
         trips = self.out[b]
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -58,7 +58,6 @@
     most_trips: int
     may_cancel: bool
     may_probe: bool
-    may_copy: bool      # a second trip may be out beside the first
     retry_after: int    # longest wait that clients follow; 0 where they are told none
     marks_repeats: bool # clients mark their repeats
     cold_for: int
