--- a/pierglade/benchlink/link.py
+++ b/pierglade/benchlink/link.py
@@ -47,7 +47,6 @@
         cold_for=up(contract.get("coldUs") or 0),
         cold_from=float(contract.get("startCapacity") or 1),
         tip_multiple=float(contract.get("tipMultiple") or 1),
-        live_weights=conf.get("weightKind") == "live",
         worst_offering=goal.get("worstClass", 0) / (sum(goal.values()) or 1))
 
 
@@ -114,7 +113,6 @@
     def census(self, fields):
         self.lists[fields["ref"]] = [
             r.Listed(e["backend"], STATES[e["status"]], e.get("zone"), e.get("cluster"),
-                     e.get("powerHint") or 1.0,
                      down(e.get("sinceUs") or 0))
             for e in fields["entries"]]
 
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -36,7 +36,6 @@
 TRIAL_GAP, TRIAL_GAP_MOST = 1500, 10000   # 150 ms, 1 s; between trials, doubled after each bad one
 CROWD = 1.0             # times the mean in flight; far more than chance piles up on one backend
 CROWD_FLOOR = 0.5       # trips; below this much over the mean nothing is crowded
-LISTED_FAR = 2.0        # times the mean; a listed load that far above it is old news too, but a long queue lasts
 STRAIN = 0.75           # share of the expected time; slower answers mean that the fleet is filling up
 STRAINED = 0.05         # share of answers that may be so slow before fewer trips are let out
 LIMIT_STEP = 0.5        # trips; how fast the limit on trips out follows
@@ -92,7 +91,6 @@
         self.index = {}
         self.names, self.state, self.zone, self.cell = [], [], [], []
         self.started, self.left_at, self.cold_until = [], [], []
-        self.best_weight, self.listed_load, self.mean_load = [], [], 1.0
         self.allowance, self.allowed_at = [], []
         self.out, self.last_answer = [], []
         self.quick, self.level, self.errors = [], [], []
@@ -137,9 +135,6 @@
                     continue
                 b = self._new_index(e.name, now)
             self.zone[b], self.cell[b] = e.zone, e.cell
-            # A live weight falls with what all nodes together have there: the most seen is the idle one.
-            self.best_weight[b] = max(self.best_weight[b], e.weight)
-            self.listed_load[b] = self.best_weight[b] / e.weight
             if e.state != READY:
                 self._leave(b, e.state, now)
                 continue
@@ -157,7 +152,6 @@
                 if place < self.at:
                     self.at += 1
         self._count_sound()
-        self.mean_load = sum(self.listed_load[b] for b in self.turn) / max(1, len(self.turn))
         if fresh and self.turn:
             self.at = self.pick(len(self.turn))
 
@@ -432,8 +426,6 @@
                 return SLOW
         if (len(self.out[b]) + 1) * self.level[b] > 1 + CROWD_FLOOR + CROWD * self.busy / self.sound:
             return "crowded"
-        if self.terms.live_weights and self.listed_load[b] > LISTED_FAR * self.mean_load:
-            return "crowded"
         forecast = self.forecast[b]
         if forecast is not None:
             threshold = self.table[invocation.offering.index].typical * self.level[b]
@@ -669,7 +661,7 @@
             b = len(self.names)
             for array, first in ((self.names, name), (self.state, GONE), (self.zone, None), (self.cell, None),
                                  (self.started, 0), (self.left_at, now), (self.cold_until, 0),
-                                 (self.best_weight, 0.0), (self.listed_load, 1.0), (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
+                                 (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
                                  (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
                                  (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
                                  (self.relapses, 0),
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -63,7 +63,6 @@
     cold_for: int
     cold_from: float
     tip_multiple: float
-    live_weights: bool      # the list's weights fall with what a backend holds
     worst_offering: float   # weight of the worst-served offering in what counts as service
 
 
@@ -74,7 +73,6 @@
     state: str
     zone: str
     cell: object
-    weight: float
     started: int        # 0: long ago
 
 
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -18,13 +18,13 @@
                  r.Offering(2, "pay", r.ONE_SHOT, "all", 0, 400 * MS, 1000 * MS, 8.0)]
     known = dict(offerings=offerings, members=[r.Member("north", 20.0), r.Member("south", 500.0)], nodes=1,
                  most_trips=3, may_cancel=True, may_probe=True, retry_after=0, marks_repeats=False,
-                 cold_for=8000 * MS, cold_from=0.25, tip_multiple=4.0, live_weights=False, worst_offering=0.2)
+                 cold_for=8000 * MS, cold_from=0.25, tip_multiple=4.0, worst_offering=0.2)
     known.update(changed)
     return r.Terms(**known)
 
 
-def listed(name, state=r.READY, zone="east", weight=1.0, started=0):
-    return r.Listed(name, state, zone, 0, weight, started)
+def listed(name, state=r.READY, zone="east", started=0):
+    return r.Listed(name, state, zone, 0, started)
 
 
 class Scene:
