A slow backend that leaves the list no longer counts as slow; a used index starts clean

Found reading the module aloud: a backend gone while slow stayed in the count of slow ones, and with enough of them shared trouble would have seemed to last; a reused index kept the old backend's figures.

--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -652,29 +652,25 @@
     # The list.
 
     def _new_index(self, name, now):
-        for b, state in enumerate(self.state):
-            if state == GONE and not self.out[b] and now - self.left_at[b] > FORGET:
-                del self.index[self.names[b]]
-                self.names[b] = name
-                break
-        else:
-            b = len(self.names)
-            for array, first in ((self.names, name), (self.state, GONE), (self.zone, None), (self.cell, None),
-                                 (self.started, 0), (self.left_at, now), (self.cold_until, 0),
-                                 (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
-                                 (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
-                                 (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
-                                 (self.relapses, 0),
-                                 (self.trial_at, 0), (self.trial_gap, TRIAL_GAP), (self.trial_due, False),
-                                 (self.trials_out, 0), (self.work, 0), (self.samples, None),
-                                 (self.sums, None),
-                                 (self.window, WINDOW_MEDIUM), (self.pauses, None),
-                                 (self.mean_pause, FIRST_PAUSE), (self.work_due, None),
-                                 (self.forecast, None)):
-                array.append(first)
-            self.out[b] = {}
+        b = next((b for b, state in enumerate(self.state)
+                  if state == GONE and not self.out[b] and now - self.left_at[b] > FORGET), len(self.names))
+        if b < len(self.names):
+            del self.index[self.names[b]]
+        for array, first in ((self.names, name), (self.state, GONE), (self.zone, None), (self.cell, None),
+                             (self.started, 0), (self.left_at, now), (self.cold_until, 0),
+                             (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
+                             (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
+                             (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
+                             (self.relapses, 0),
+                             (self.trial_at, 0), (self.trial_gap, TRIAL_GAP), (self.trial_due, False),
+                             (self.trials_out, 0), (self.work, 0), (self.samples, None),
+                             (self.sums, None),
+                             (self.window, WINDOW_MEDIUM), (self.pauses, None),
+                             (self.mean_pause, FIRST_PAUSE), (self.work_due, None),
+                             (self.forecast, None)):
+            array[b:b + 1] = [first]    # appends where b is new
+        self.out[b] = {}
         self.index[name] = b
-        self.started[b] = 0
         self._forget_history(b)
         return b
 
@@ -694,4 +690,7 @@
             if self.at >= len(self.turn):
                 self.at = 0
             self.left_at[b] = now
+            if self.trouble[b] is SLOW:
+                # Gone, it must not count to the slow ones for ever, or shared trouble would seem to last.
+                self._mark(b, None)
         self.state[b] = state
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -145,6 +145,20 @@
         scene.flow(4)
         self.check("list", scene.lines)
 
+    def test_a_slow_one_that_goes_is_no_longer_slow(self):
+        scene = Scene(["b0", "b1", "b3"])
+        b = scene.node.index["b1"]
+        scene.flow(90, took=8)
+        scene.flow(12, slow=("b1",), took=8, slow_took=47)
+        scene.say(f"b1 is {scene.node.trouble[b]}, slow ones: {scene.node.slow_ones}")
+        scene.list([listed("b1", r.GONE)])
+        scene.say(f"b1 is {scene.node.state[b]}, slow ones: {scene.node.slow_ones}")
+        scene.after(61000)
+        scene.list(["b2"])
+        scene.say(f"b2 has the index of b1: {scene.node.index['b2'] == b}, trouble: {scene.node.trouble[b]}")
+        scene.flow(4)
+        self.check("slow_and_gone", scene.lines)
+
     def test_cold_backend_gets_its_part_only(self):
         scene = Scene(["b0", "b1"], nodes=2)
         scene.flow(40, took=10)
