--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -484,7 +484,7 @@
             if self.trouble[b] is None:
                 row.answers += 1
                 row.typical += (took - row.typical) * max(TYPICAL, 1 / row.answers)
-                self.level[b] += (min(ratio, GOOD * level) - self.level[b]) * LEVEL
+                self.level[b] += (ratio - self.level[b]) * LEVEL
                 self._sample(b, now)
                 self._follow_strain(trip, now)
                 if self.quick[b] > FAR * level:
