The cold budget counts what warm backends of the same kind are sent

Asked for by the first version: what a like warm backend takes, by its own gaps, not the mean of all.

--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -49,6 +49,8 @@
 VOTES_MOST = 50         # tries; how many it takes to change what is usual, about a second's worth
 PATIENCE = 0.3          # share of the expected time; held longer, it is bounced, as is what is over its share
 COLD_MARGIN = 0.6       # share of the cold budget used; the rest is for uneven nodes, machines and work
+BETWEEN = 1 / 8         # share of a new gap in the smoothed time between sends to a backend: a second or two
+RARE = 10000            # 1 s; longest gap between two sends to a warm backend, and the first guess at it
 COLD_BURST = 1.5        # trips saved up for a cold backend
 OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
@@ -92,6 +94,7 @@
         self.names, self.state, self.zone, self.cell = [], [], [], []
         self.started, self.left_at, self.cold_until = [], [], []
         self.allowance, self.allowed_at = [], []
+        self.kind, self.between, self.last_send = [], [], []
         self.out, self.last_answer = [], []
         self.quick, self.level, self.errors = [], [], []
         self.trouble, self.since, self.until, self.relapses = [], [], [], []
@@ -113,8 +116,6 @@
         self.sound = 1              # ready backends that are neither silent nor failing
         self.each = LIMIT_FIRST / terms.nodes   # how many trips this node may have out for each of those
         self.extra = EXTRA_MOST
-        self.between = 10000.0      # smoothed time between sends
-        self.last_send = now
         self.overloaded = False
         self.sweep_at = now + SWEEP
 
@@ -134,7 +135,7 @@
                 if e.state != READY:
                     continue
                 b = self._new_index(e.name, now)
-            self.zone[b], self.cell[b] = e.zone, e.cell
+            self.zone[b], self.cell[b], self.kind[b] = e.zone, e.cell, e.kind
             if e.state != READY:
                 self._leave(b, e.state, now)
                 continue
@@ -443,10 +444,12 @@
     def _cold_allows(self, b, now):
         """Rule 4: this node's part of what a cold backend may be sent, from what warm ones are sent."""
         terms = self.terms
-        warm = sum(1 for other in self.turn if now >= self.cold_until[other]) or len(self.turn)
+        warm = [other for other in self.turn if now >= self.cold_until[other]]
+        like = [other for other in warm if self.kind[other] == self.kind[b]] or warm or [b]
+        taken = sum(1 / max(self.between[other], 1.0) for other in like) / len(like)
         age = max(0, now - self.started[b])
         capacity = min(1.0, terms.cold_from + (1 - terms.cold_from) * age / max(1, terms.cold_for))
-        pace = COLD_MARGIN * min(1.0, terms.tip_multiple * capacity) / (max(self.between, 1.0) * warm)
+        pace = COLD_MARGIN * min(1.0, terms.tip_multiple * capacity) * taken
         self.allowance[b] = min(COLD_BURST, self.allowance[b] + pace * (now - self.allowed_at[b]))
         self.allowed_at[b] = now
         return self.allowance[b] >= 1
@@ -462,8 +465,8 @@
         if now < self.cold_until[b]:
             self.allowance[b] -= 1
         else:
-            self.between += (min(now - self.last_send, 10000) - self.between) * TYPICAL
-            self.last_send = now
+            self.between[b] += (min(now - self.last_send[b], RARE) - self.between[b]) * BETWEEN
+            self.last_send[b] = now
         self.out[b][trip] = None
         invocation.trips.append(trip)
         invocation.out += 1
@@ -659,6 +662,7 @@
         for array, first in ((self.names, name), (self.state, GONE), (self.zone, None), (self.cell, None),
                              (self.started, 0), (self.left_at, now), (self.cold_until, 0),
                              (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
+                             (self.kind, None), (self.between, RARE), (self.last_send, now),
                              (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
                              (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
                              (self.relapses, 0),
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -73,6 +73,7 @@
     state: str
     zone: str
     cell: object
+    kind: str
     started: int        # 0: long ago
 
 
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -24,7 +24,7 @@
 
 
 def listed(name, state=r.READY, zone="east", started=0):
-    return r.Listed(name, state, zone, 0, started)
+    return r.Listed(name, state, zone, 0, "box", started)
 
 
 class Scene:
