Turns in proportion to the list's weights

Even turns overdrive the small machines: at 0.6 of the fleet's capacity a slow box is full, and with hundreds of nodes none has two trips out there to see it crowded.

--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -63,6 +63,7 @@
 
 # Why a backend takes trials only.
 SLOW, SILENCE, FAILING = "slow", "silent", "failing"
+FALLBACKS = ("forecast", SLOW, "crowded", "light")  # skips that give way when all are skipped
 COUNTED = (None, SLOW)  # trips on the others come to nothing and must not use up the limit
 
 
@@ -95,6 +96,7 @@
         self.started, self.left_at, self.cold_until = [], [], []
         self.allowance, self.allowed_at = [], []
         self.kind, self.between, self.last_send = [], [], []
+        self.weight, self.owed = [], []
         self.out, self.last_answer = [], []
         self.quick, self.level, self.errors = [], [], []
         self.trouble, self.since, self.until, self.relapses = [], [], [], []
@@ -103,6 +105,7 @@
         self.pauses, self.mean_pause, self.work_due, self.forecast = [], [], [], []
         # The rotation.
         self.turn, self.at = [], 0
+        self.heaviest = 1.0
         self.slow_ones = 0
         # What is held and out.
         # Heaps of (moment of the expected time, count, invocation): one an offering, then one for repeats.
@@ -135,7 +138,7 @@
                 if e.state != READY:
                     continue
                 b = self._new_index(e.name, now)
-            self.zone[b], self.cell[b], self.kind[b] = e.zone, e.cell, e.kind
+            self.zone[b], self.cell[b], self.kind[b], self.weight[b] = e.zone, e.cell, e.kind, e.weight
             if e.state != READY:
                 self._leave(b, e.state, now)
                 continue
@@ -152,6 +155,7 @@
                 self.turn.insert(place, b)
                 if place < self.at:
                     self.at += 1
+        self.heaviest = max((self.weight[b] for b in self.turn), default=1.0)
         self._count_sound()
         if fresh and self.turn:
             self.at = self.pick(len(self.turn))
@@ -400,9 +404,14 @@
             b = turn[place]
             skip = self._skip(invocation, b, now)
             if skip is None:
-                self.at = place + 1 if place + 1 < count else 0
-                return b
-            if fallback is None and skip in ("forecast", SLOW, "crowded"):
+                # Even turns would overdrive the small machines at a load that the fleet can bear.
+                self.owed[b] += self.weight[b] / self.heaviest
+                if self.owed[b] >= 1:
+                    self.owed[b] -= 1
+                    self.at = place + 1 if place + 1 < count else 0
+                    return b
+                skip = "light"
+            if fallback is None and skip in FALLBACKS:
                 fallback = place
         if fallback is None:
             return None
@@ -663,6 +672,7 @@
                              (self.started, 0), (self.left_at, now), (self.cold_until, 0),
                              (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
                              (self.kind, None), (self.between, RARE), (self.last_send, now),
+                             (self.weight, 1.0), (self.owed, self.pick(1000) / 1000),
                              (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
                              (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
                              (self.relapses, 0),
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -75,6 +75,7 @@
     cell: object
     kind: str
     started: int        # 0: long ago
+    weight: float = 1.0     # what it can bear beside others, as far as the list knows
 
 
 @dataclass(slots=True, eq=False)
