--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -38,7 +38,8 @@
 CROWD_FLOOR = 0.5       # trips; below this much over the mean nothing is crowded
 STRAIN = 0.75           # share of the expected time; slower answers mean that the fleet is filling up
 STRAINED = 0.05         # share of answers that may be so slow before fewer trips are let out
-LIMIT_STEP = 0.5        # trips; how fast the limit on trips out follows
+LIMIT_STEP = 0.05       # share of the limit on trips out; how fast it follows
+LIMIT_SPAN = 5000       # 0.5 s; the limit holds for the mean of about this long, as a node's part may be under one
 LIMIT_LEAST = 2.5       # trips a backend, of all nodes together; it works on some while others wait or travel
 LIMIT_FIRST = 4.0       # trips a backend, of all nodes together; before anything was learned
 EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
@@ -118,6 +119,7 @@
         self.busy = 0               # trips out, but for those on silent or failing backends
         self.sound = 1              # ready backends that are neither silent nor failing
         self.each = LIMIT_FIRST / terms.nodes   # how many trips this node may have out for each of those
+        self.spare, self.spare_at = 0.0, now    # trips x time that the limit has left over
         self.extra = EXTRA_MOST
         self.overloaded = False
         self.sweep_at = now + SWEEP
@@ -207,7 +209,7 @@
         if outcome == TIMED_OUT or outcome == CALLED_OFF:
             trip.until = now + int(GHOST * self.table[invocation.offering.index].typical)
         else:
-            self._leave_flight(b, trip)
+            self._leave_flight(b, trip, now)
         if trip.trial:
             self.trials_out[b] -= 1
         if outcome in NEVER_RAN and invocation.risky is trip:
@@ -223,11 +225,18 @@
         elif not invocation.out:
             self._after_loss(now, invocation, outcome)
 
-    def _leave_flight(self, b, trip):
+    def _leave_flight(self, b, trip, now):
         del self.out[b][trip]
         if self.trouble[b] in COUNTED:
+            self._spend(now)
             self.busy -= 1
 
+    def _spend(self, now):
+        """What the trips out have left over of the limit, up to now."""
+        limit = self.each * self.sound
+        self.spare = min(limit * LIMIT_SPAN, self.spare + (limit - self.busy) * (now - self.spare_at))
+        self.spare_at = now
+
     def streaming(self, trip):
         """The answer has started; the trip belongs to the client."""
         trip.called_off = trip.invocation.over = True
@@ -274,7 +283,8 @@
                 # Held so long, it would come out of the backend late: an early no leaves room for the others.
                 heappop(queue)
                 return self._final(invocation)
-            b = self._choose(invocation, now) if self.busy < self.each * self.sound else None
+            self._spend(now)
+            b = self._choose(invocation, now) if self.spare >= 0 else None
             if b is None:
                 break
             heappop(queue)
@@ -466,6 +476,7 @@
     def _send(self, invocation, b, now):
         trip = Trip(invocation, len(invocation.trips), b, now, invocation.limit)
         if self.trouble[b] in COUNTED:
+            self._spend(now)
             self.busy += 1
         if self._is_trial(invocation, b):
             trip.trial = True
@@ -521,11 +532,10 @@
 
     def _follow_strain(self, trip, now):
         """Fewer trips out when too many answers come close to their expected time, more when few do."""
-        invocation, step = trip.invocation, LIMIT_STEP / self.sound
-        if now - trip.sent > STRAIN * invocation.offering.expected:
-            self.each = max(LIMIT_LEAST / self.terms.nodes, self.each - step * (1 - STRAINED))
-        elif self.busy + 2 >= self.each * self.sound:
-            self.each += step * STRAINED
+        if now - trip.sent > STRAIN * trip.invocation.offering.expected:
+            self.each = max(LIMIT_LEAST / self.terms.nodes, self.each * (1 - LIMIT_STEP * (1 - STRAINED)))
+        elif self.spare <= 0:
+            self.each *= 1 + LIMIT_STEP * STRAINED
 
     def _count_sound(self):
         # One at least: a node that was cut off sees all fail, and must still send trials to find them well.
@@ -539,10 +549,11 @@
             self.trial_gap[b] = TRIAL_GAP
             self.trial_at[b] = now + TRIAL_GAP
             self.trial_due[b] = False
-        self._mark(b, why)
+        self._mark(b, why, now)
 
-    def _mark(self, b, trouble):
+    def _mark(self, b, trouble, now):
         """Keeps the counts that depend on which trouble a backend has."""
+        self._spend(now)
         before = self.trouble[b]
         self.busy += len(self.out[b]) * ((trouble in COUNTED) - (before in COUNTED))
         self.slow_ones += (trouble is SLOW) - (before is SLOW)
@@ -550,7 +561,7 @@
         self._count_sound()
 
     def _end(self, b, now, well=True):
-        self._mark(b, None)
+        self._mark(b, None, now)
         self.errors[b] = 0.0
         if not well:
             self.relapses[b] = min(self.relapses[b] + 1, 8)
@@ -592,7 +603,7 @@
         """With trips out and no answer for long, a backend is silent; what may be is sent elsewhere."""
         trips = self.out[b]
         for trip in [t for t in trips if t.outcome and now >= t.until]:
-            self._leave_flight(b, trip)
+            self._leave_flight(b, trip, now)
         if not trips:
             return
         oldest = next(iter(trips))
@@ -706,5 +717,5 @@
             self.left_at[b] = now
             if self.trouble[b] is SLOW:
                 # Gone, it must not count to the slow ones for ever, or shared trouble would seem to last.
-                self._mark(b, None)
+                self._mark(b, None, now)
         self.state[b] = state
