--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -55,6 +55,7 @@
 COLD_BURST = 1.5        # trips saved up for a cold backend
 OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
+HEED = 1 / 2            # share of a new weight of the list; live ones are late, and heeded at once all would swing
 GHOST = 1.0             # times typical; how long a trip that nobody waits for still counts as in flight
 WAITED = 0.1            # share of the expected time; an oldest held wait beyond it ranks what is held by gain
 FADE = 0.9975           # share left of what was asked and settled after each sweep: about 20 s are seen
@@ -140,7 +141,8 @@
                 if e.state != READY:
                     continue
                 b = self._new_index(e.name, now)
-            self.zone[b], self.cell[b], self.kind[b], self.weight[b] = e.zone, e.cell, e.kind, e.weight
+            self.zone[b], self.cell[b], self.kind[b] = e.zone, e.cell, e.kind
+            self.weight[b] += (e.weight - self.weight[b]) * (HEED if self.state[b] == READY else 1)
             if e.state != READY:
                 self._leave(b, e.state, now)
                 continue
