A node rotates over the backends that rank highest in a hash of its number and theirs

As many as it can see once in two seconds, six at least; one that goes silent or fails is replaced by the next in rank. With fifty backends and three invocations a second a node saw each every sixteen seconds: it learned of a dead one by losing to it, opened a connection for each trip, and knew no levels.

--- a/pierglade/benchlink/link.py
+++ b/pierglade/benchlink/link.py
@@ -39,7 +39,8 @@
     limits, contract = conf["limits"], conf["contract"]
     goal = {k: v for k, v in (conf.get("goal") or {}).items() if k != "tailMiss"}
     return r.Terms(
-        offerings=offerings, members=members, nodes=max(1, conf.get("siblings") or 1),
+        offerings=offerings, members=members, number=conf.get("me") or 0,
+        nodes=max(1, conf.get("siblings") or 1),
         most_trips=limits.get("mostTrips") or 1, may_cancel=bool(limits.get("mayCancel")),
         may_probe=bool(limits.get("probes")),
         retry_after=down(limits.get("maxRetryAfterUs") or 0) if limits.get("retryAfter") else 0,
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -8,7 +8,9 @@
 """
 
 import random
+from bisect import insort
 from collections import deque
+from hashlib import blake2b
 from heapq import heappop, heappush
 
 from pierglade.records import (
@@ -39,7 +41,7 @@
 STRAIN = 0.75           # share of the expected time; slower answers mean that the fleet is filling up
 STRAINED = 0.05         # share of answers that may be so slow before fewer trips are let out
 LIMIT_STEP = 0.05       # share of the limit on trips out; how fast it follows
-LIMIT_SPAN = 5000       # 0.5 s; the limit holds for the mean of about this long, as a node's part may be under one
+LIMIT_SPAN = 5000       # 0.5 s; the limit holds in the mean of about this, as a node's part may be under one
 LIMIT_LEAST = 2.5       # trips a backend, of all nodes together; it works on some while others wait or travel
 LIMIT_FIRST = 4.0       # trips a backend, of all nodes together; before anything was learned
 EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
@@ -49,13 +51,15 @@
 USUAL = 0.02            # share; a try with this much less time than first ones was cut by the hard limit
 VOTES_MOST = 50         # tries; how many it takes to change what is usual, about a second's worth
 PATIENCE = 0.3          # share of the expected time; held longer, it is bounced, as is what is over its share
+IN_VIEW = 20000         # 2 s; a backend seen less often is not known to be well, nor how full it is
+FEWEST = 6              # backends; with fewer a node could lose all to one outage
 COLD_MARGIN = 0.6       # share of the cold budget used; the rest is for uneven nodes, machines and work
 BETWEEN = 1 / 8         # share of a new gap in the smoothed time between sends to a backend: a second or two
-RARE = 10000            # 1 s; longest gap between two sends to a warm backend, and the first guess at it
+RARE = 100000           # 10 s; longest gap between two sends to a warm backend, and the first guess at it
 COLD_BURST = 1.5        # trips saved up for a cold backend
 OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
-HEED = 1 / 2            # share of a new weight of the list; live ones are late, and heeded at once all would swing
+HEED = 1 / 2            # share of a new weight of the list; live ones are late, and all nodes would swing
 GHOST = 1.0             # times typical; how long a trip that nobody waits for still counts as in flight
 WAITED = 0.1            # share of the expected time; an oldest held wait beyond it ranks what is held by gain
 FADE = 0.9975           # share left of what was asked and settled after each sweep: about 20 s are seen
@@ -105,7 +109,10 @@
         self.trial_at, self.trial_gap, self.trial_due, self.trials_out = [], [], [], []
         self.work, self.samples, self.sums, self.window = [], [], [], []
         self.pauses, self.mean_pause, self.work_due, self.forecast = [], [], [], []
-        # The rotation.
+        # The rotation: the first of the ready backends by rank, as many as this node can keep in view.
+        asked = sum(member.per_second for member in terms.members) / terms.nodes
+        self.in_view = max(FEWEST, int(asked * IN_VIEW / 10000)) if asked else None
+        self.rank, self.ranked = [], []
         self.turn, self.at = [], 0
         self.heaviest = 1.0
         self.slow_ones = 0
@@ -118,7 +125,8 @@
         self.finals = deque()       # decisions already made
         self.probes = deque()
         self.busy = 0               # trips out, but for those on silent or failing backends
-        self.sound = 1              # ready backends that are neither silent nor failing
+        self.sound = 1              # those in the rotation that are neither silent nor failing
+        self.fleet = 1.0            # the same among all ready backends, as far as this node can tell
         self.each = LIMIT_FIRST / terms.nodes   # how many trips this node may have out for each of those
         self.spare, self.spare_at = 0.0, now    # trips x time that the limit has left over
         self.extra = EXTRA_MOST
@@ -129,7 +137,6 @@
 
     def listed(self, now, entries, whole):
         """The list's word on all backends, or on the changed ones."""
-        fresh = not self.turn
         if whole:
             named = {e.name for e in entries}
             for name, b in self.index.items():
@@ -154,15 +161,27 @@
                 self._forget_history(b)
             if self.state[b] != READY:
                 self.state[b] = READY
-                # Rotations start at random, and so does each newcomer's place in them.
-                place = self.pick(len(self.turn) + 1)
-                self.turn.insert(place, b)
-                if place < self.at:
-                    self.at += 1
-        self.heaviest = max((self.weight[b] for b in self.turn), default=1.0)
-        self._count_sound()
-        if fresh and self.turn:
-            self.at = self.pick(len(self.turn))
+                insort(self.ranked, b, key=self.rank.__getitem__)
+        self._draw_turn()
+
+    def _draw_turn(self):
+        """The rotation runs over the first by rank until enough of them are sound; it starts at random."""
+        before, after = self.turn, []
+        sound = 0
+        for b in self.ranked:
+            if sound == self.in_view:
+                break
+            after.append(b)
+            sound += self.trouble[b] in COUNTED
+        # One at least: a node that was cut off sees all fail, and must still send trials to find them well.
+        self.sound = max(1, sound)
+        self.fleet = self.sound * len(self.ranked) / max(1, len(after))
+        self.heaviest = max((self.weight[b] for b in after), default=1.0)
+        if after == before:
+            return
+        self.turn = after
+        following = [b for b in before[self.at:] + before[:self.at] if b in after]
+        self.at = after.index(following[0]) if following else self.pick(max(1, len(after)))
 
     def taken(self, now, invocation):
         """An invocation has come in; from here on it is owed one final answer."""
@@ -235,7 +254,7 @@
 
     def _spend(self, now):
         """What the trips out have left over of the limit, up to now."""
-        limit = self.each * self.sound
+        limit = self.each * self.fleet
         self.spare = min(limit * LIMIT_SPAN, self.spare + (limit - self.busy) * (now - self.spare_at))
         self.spare_at = now
 
@@ -539,10 +558,6 @@
         elif self.spare <= 0:
             self.each *= 1 + LIMIT_STEP * STRAINED
 
-    def _count_sound(self):
-        # One at least: a node that was cut off sees all fail, and must still send trials to find them well.
-        self.sound = max(1, sum(1 for b in self.turn if self.trouble[b] in COUNTED))
-
     def _begin(self, b, why, now):
         if self.trouble[b] is None:
             self.since[b] = now
@@ -560,7 +575,7 @@
         self.busy += len(self.out[b]) * ((trouble in COUNTED) - (before in COUNTED))
         self.slow_ones += (trouble is SLOW) - (before is SLOW)
         self.trouble[b] = trouble
-        self._count_sound()
+        self._draw_turn()
 
     def _end(self, b, now, well=True):
         self._mark(b, None, now)
@@ -681,7 +696,9 @@
                   if state == GONE and not self.out[b] and now - self.left_at[b] > FORGET), len(self.names))
         if b < len(self.names):
             del self.index[self.names[b]]
-        for array, first in ((self.names, name), (self.state, GONE), (self.zone, None), (self.cell, None),
+        rank = blake2b(f"{self.terms.number} {name}".encode(), digest_size=8).digest()
+        for array, first in ((self.names, name), (self.rank, rank), (self.state, GONE),
+                             (self.zone, None), (self.cell, None),
                              (self.started, 0), (self.left_at, now), (self.cold_until, 0),
                              (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
                              (self.kind, None), (self.between, RARE), (self.last_send, now),
@@ -710,12 +727,7 @@
     def _leave(self, b, state, now):
         """Rule 3: from the moment the list says that it drains or is gone, it is out of the rotation."""
         if self.state[b] == READY:
-            place = self.turn.index(b)
-            del self.turn[place]
-            if place < self.at:
-                self.at -= 1
-            if self.at >= len(self.turn):
-                self.at = 0
+            self.ranked.remove(b)
             self.left_at[b] = now
             if self.trouble[b] is SLOW:
                 # Gone, it must not count to the slow ones for ever, or shared trouble would seem to last.
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -54,6 +54,7 @@
     """The settings as received, in our words."""
     offerings: list
     members: list
+    number: int         # the node's own, among so many
     nodes: int
     most_trips: int
     may_cancel: bool
