--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -42,6 +42,7 @@
 STRAINED = 0.05         # share of answers that may be so slow before fewer trips are let out
 LIMIT_STEP = 0.05       # share of the limit on trips out; how fast it follows
 LIMIT_SPAN = 5000       # 0.5 s; the limit holds in the mean of about this, as a node's part may be under one
+LIMIT_PEAK = 1.5        # times the limit; so many may be out at once, and one more, while the mean allows
 LIMIT_LEAST = 2.5       # trips a backend, of all nodes together; it works on some while others wait or travel
 LIMIT_FIRST = 4.0       # trips a backend, of all nodes together; before anything was learned
 EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
@@ -305,7 +306,8 @@
                 heappop(queue)
                 return self._final(invocation)
             self._spend(now)
-            b = self._choose(invocation, now) if self.spare >= 0 else None
+            full = self.spare < 0 or self.busy >= 1 + LIMIT_PEAK * self.each * self.fleet
+            b = None if full else self._choose(invocation, now)
             if b is None:
                 break
             heappop(queue)
