Turns shrink with a backend's level, which follows within seconds

Speeds differ within a kind by up to a quarter, and listed sizes do not show it. The level is of the last three seconds where answers are rare; crowded needs a trip out.

--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -29,6 +29,7 @@
 GOOD = 2.0              # times; an answer within this of the level ends a pause, under FAR so it cannot flap
 RATIO_CAP = 6.0         # times; one answer counts as no slower, so that one heavy invocation is no pause
 QUICK, LEVEL = 1 / 4, 1 / 32    # shares of a new answer in the quick and in the smoothed level
+LEVEL_SPAN = 30000      # 3 s; the level follows within this where answers are rare
 FIRST_TYPICAL = 0.25    # share of the expected time; leaves room for a further trip
 TYPICAL = 1 / 24        # share of a new answer in an offering's typical latency: about a second's worth
 ERRORS = 0.3            # share of a new outcome in the error level
@@ -438,7 +439,7 @@
             skip = self._skip(invocation, b, now)
             if skip is None:
                 # Even turns would overdrive the small machines at a load that the fleet can bear.
-                self.owed[b] += self.weight[b] / self.heaviest
+                self.owed[b] += min(1.0, self.weight[b] / (self.heaviest * self.level[b]))
                 if self.owed[b] >= 1:
                     self.owed[b] -= 1
                     self.at = place + 1 if place + 1 < count else 0
@@ -467,7 +468,7 @@
             # Shared trouble: when most backends are slow at once, skipping them all helps nobody.
             if self.slow_ones * 2 <= len(self.turn):
                 return SLOW
-        if (len(self.out[b]) + 1) * self.level[b] > 1 + CROWD_FLOOR + CROWD * self.busy / self.sound:
+        if self.out[b] and (len(self.out[b]) + 1) * self.level[b] > 1 + CROWD_FLOOR + CROWD * self.busy / self.sound:
             return "crowded"
         forecast = self.forecast[b]
         if forecast is not None:
@@ -522,6 +523,7 @@
     def _learn(self, now, trip, outcome, took):
         b, row = trip.backend, self.table[trip.invocation.offering.index]
         if outcome == SETTLED:
+            heed = min(QUICK, max(LEVEL, (now - self.last_answer[b]) / LEVEL_SPAN))
             self.last_answer[b] = now
             self.errors[b] *= 1 - ERRORS
             ratio = min(RATIO_CAP, took / row.typical)
@@ -530,7 +532,7 @@
             if self.trouble[b] is None:
                 row.answers += 1
                 row.typical += (took - row.typical) * max(TYPICAL, 1 / row.answers)
-                self.level[b] += (ratio - self.level[b]) * LEVEL
+                self.level[b] += (ratio - self.level[b]) * heed
                 self._sample(b, now)
                 self._follow_strain(trip, now)
                 if self.quick[b] > FAR * level:
