Not sent with less than one and a half typical latencies left

Most late answers had been held first. At most nine tenths of the expected time, so that an offering that was once slow is tried again.

--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -48,7 +48,8 @@
 LIMIT_FIRST = 4.0       # trips a backend, of all nodes together; before anything was learned
 EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
 EXTRA_MOST = 20.0       # further trips saved up, for a burst of losses when a backend dies
-HOPELESS = 1.0          # times typical; with less time than this left, more than half would come too late
+HOPELESS = 1.5          # times typical; with less time than this left, too many would come too late
+HOPELESS_MOST = 0.9     # share of the expected time; what has just come in is worth a trip
 HOPELESS_LEAST = 100    # 10 ms; a host acts every few ms, and the answer must be out before the limit
 USUAL = 0.02            # share; a try with this much less time than first ones was cut by the hard limit
 VOTES_MOST = 50         # tries; how many it takes to change what is usual, about a second's worth
@@ -361,8 +362,10 @@
 
     def _last_chance(self, invocation):
         """The moment from which a trip would no longer come back by the expected time."""
-        typical = self.table[invocation.offering.index].typical
-        return invocation.expected - max(HOPELESS_LEAST, int(HOPELESS * typical))
+        offering = invocation.offering
+        # Not all of the expected time: or an offering that was once slow would never be tried again.
+        need = min(HOPELESS * self.table[offering.index].typical, HOPELESS_MOST * offering.expected)
+        return invocation.expected - max(HOPELESS_LEAST, int(need))
 
     def _after_loss(self, now, invocation, outcome):
         """A trip came to nothing: a further one, or the final answer at once."""
