--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -105,7 +105,7 @@
         self.started, self.left_at, self.cold_until = [], [], []
         self.allowance, self.allowed_at = [], []
         self.kind, self.between, self.last_send = [], [], []
-        self.weight, self.owed = [], []
+        self.weight, self.size, self.owed = [], [], []
         self.out, self.last_answer = [], []
         self.quick, self.level, self.errors = [], [], []
         self.trouble, self.since, self.until, self.relapses = [], [], [], []
@@ -153,6 +153,7 @@
                 b = self._new_index(e.name, now)
             self.zone[b], self.cell[b], self.kind[b] = e.zone, e.cell, e.kind
             self.weight[b] += (e.weight - self.weight[b]) * (HEED if self.state[b] == READY else 1)
+            self.size[b] = max(self.size[b], e.weight)
             if e.state != READY:
                 self._leave(b, e.state, now)
                 continue
@@ -170,12 +171,15 @@
     def _draw_turn(self):
         """The rotation runs over the first by rank until enough of them are sound; it starts at random."""
         before, after = self.turn, []
-        sound = 0
+        sound, size = 0, 0.0
+        enough = self.in_view and self.in_view * sum(map(self.size.__getitem__, self.ranked))
         for b in self.ranked:
-            if sound == self.in_view:
+            if enough is not None and size * len(self.ranked) >= enough:
                 break
             after.append(b)
-            sound += self.trouble[b] in COUNTED
+            if self.trouble[b] in COUNTED:
+                sound += 1
+                size += self.size[b]
         # One at least: a node that was cut off sees all fail, and must still send trials to find them well.
         self.sound = max(1, sound)
         self.fleet = self.sound * len(self.ranked) / max(1, len(after))
@@ -709,7 +713,7 @@
                              (self.started, 0), (self.left_at, now), (self.cold_until, 0),
                              (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
                              (self.kind, None), (self.between, RARE), (self.last_send, now),
-                             (self.weight, 1.0), (self.owed, self.pick(1000) / 1000),
+                             (self.weight, 1.0), (self.size, 0.0), (self.owed, self.pick(1000) / 1000),
                              (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
                              (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
                              (self.relapses, 0),
