Cold backends get their part of what the fleet is asked for

The settings say what members may ask of the fleet; a node's part of that, for the nodes that have the backend in view, is what a warm one gets. Buckets start at random, or hundreds of nodes would send at one moment.

--- a/pierglade/benchlink/link.py
+++ b/pierglade/benchlink/link.py
@@ -114,7 +114,7 @@
     def census(self, fields):
         self.lists[fields["ref"]] = [
             r.Listed(e["backend"], STATES[e["status"]], e.get("zone"), e.get("cluster"),
-                     e.get("familyType"), down(e.get("sinceUs") or 0), float(e.get("powerHint") or 1))
+                     down(e.get("sinceUs") or 0), float(e.get("powerHint") or 1))
             for e in fields["entries"]]
 
     def boot(self, fields):
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -56,9 +56,7 @@
 PATIENCE = 0.3          # share of the expected time; held longer, it is bounced, as is what is over its share
 IN_VIEW = 5000         # 2 s; a backend seen less often is not known to be well, nor how full it is
 FEWEST = 2              # backends; with fewer a node could lose all to one outage
-COLD_MARGIN = 0.6       # share of the cold budget used; the rest is for uneven nodes, machines and work
-BETWEEN = 1 / 8         # share of a new gap in the smoothed time between sends to a backend: a second or two
-RARE = 100000           # 10 s; longest gap between two sends to a warm backend, and the first guess at it
+COLD_MARGIN = 0.5       # share of the cold budget used; the rest is for uneven nodes, machines and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
 OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
@@ -104,7 +102,6 @@
         self.names, self.state, self.zone, self.cell = [], [], [], []
         self.started, self.left_at, self.cold_until = [], [], []
         self.allowance, self.allowed_at = [], []
-        self.kind, self.between, self.last_send = [], [], []
         self.weight, self.size, self.owed = [], [], []
         self.out, self.last_answer = [], []
         self.quick, self.level, self.errors = [], [], []
@@ -113,8 +110,11 @@
         self.work, self.samples, self.sums, self.window = [], [], [], []
         self.pauses, self.mean_pause, self.work_due, self.forecast = [], [], [], []
         # The rotation: the first of the ready backends by rank, as many as this node can keep in view.
-        asked = sum(member.per_second for member in terms.members) / terms.nodes
-        self.in_view = max(FEWEST, int(asked * IN_VIEW / 10000)) if asked else None
+        self.asked = sum(member.per_second for member in terms.members) / terms.nodes / 10000
+        self.in_view = max(FEWEST, int(self.asked * IN_VIEW)) if self.asked else None
+        self.most = 0               # ready backends listed at once
+        self.warm_pace = 0.0        # what a warm backend in view gets from this node, by size and time
+        self.redraw_at = now
         self.rank, self.ranked = [], []
         self.turn, self.at = [], 0
         self.heaviest = 1.0
@@ -151,7 +151,7 @@
                 if e.state != READY:
                     continue
                 b = self._new_index(e.name, now)
-            self.zone[b], self.cell[b], self.kind[b] = e.zone, e.cell, e.kind
+            self.zone[b], self.cell[b] = e.zone, e.cell
             self.weight[b] += (e.weight - self.weight[b]) * (HEED if self.state[b] == READY else 1)
             self.size[b] = max(self.size[b], e.weight)
             if e.state != READY:
@@ -161,28 +161,36 @@
                 # A process that has just started is cold until its time is up, whoever else sends to it.
                 self.started[b] = e.started
                 self.cold_until[b] = e.started + self.terms.cold_for
-                self.allowance[b], self.allowed_at[b] = 0.0, now
+                self.allowance[b], self.allowed_at[b] = self.pick(1000) / 1000, now
                 self._forget_history(b)
             if self.state[b] != READY:
                 self.state[b] = READY
                 insort(self.ranked, b, key=self.rank.__getitem__)
-        self._draw_turn()
+        self._draw_turn(now)
 
-    def _draw_turn(self):
+    def _draw_turn(self, now):
         """The rotation runs over the first by rank until enough of them are sound; it starts at random."""
         before, after = self.turn, []
         sound, size = 0, 0.0
-        enough = self.in_view and self.in_view * sum(map(self.size.__getitem__, self.ranked))
+        total = sum(map(self.size.__getitem__, self.ranked))
+        enough = self.in_view and self.in_view * total
+        self.redraw_at = now + FORGET
         for b in self.ranked:
             if enough is not None and size * len(self.ranked) >= enough:
                 break
             after.append(b)
-            if self.trouble[b] in COUNTED:
-                sound += 1
+            if now < self.cold_until[b]:
+                size += self.size[b] * self.terms.cold_from
+                self.redraw_at = min(self.redraw_at, self.cold_until[b])
+            elif self.trouble[b] in COUNTED:
                 size += self.size[b]
+            sound += self.trouble[b] in COUNTED
         # One at least: a node that was cut off sees all fail, and must still send trials to find them well.
         self.sound = max(1, sound)
         self.fleet = self.sound * len(self.ranked) / max(1, len(after))
+        self.most = max(self.most, len(self.ranked))
+        if after:
+            self.warm_pace = self.asked * len(self.ranked) ** 2 / (self.most * len(after) * total)
         self.heaviest = max((self.weight[b] for b in after), default=1.0)
         if after == before:
             return
@@ -492,14 +500,11 @@
                 and invocation.offering.repeats in self.trial_kinds)
 
     def _cold_allows(self, b, now):
-        """Rule 4: this node's part of what a cold backend may be sent, from what warm ones are sent."""
+        """Rule 4: this node's part of what a cold backend may be sent, from what the fleet is asked for."""
         terms = self.terms
-        warm = [other for other in self.turn if now >= self.cold_until[other]]
-        like = [other for other in warm if self.kind[other] == self.kind[b]] or warm or [b]
-        taken = sum(1 / max(self.between[other], 1.0) for other in like) / len(like)
         age = max(0, now - self.started[b])
         capacity = min(1.0, terms.cold_from + (1 - terms.cold_from) * age / max(1, terms.cold_for))
-        pace = COLD_MARGIN * min(1.0, terms.tip_multiple * capacity) * taken
+        pace = COLD_MARGIN * min(1.0, terms.tip_multiple * capacity) * self.warm_pace * self.size[b]
         self.allowance[b] = min(COLD_BURST, self.allowance[b] + pace * (now - self.allowed_at[b]))
         self.allowed_at[b] = now
         return self.allowance[b] >= 1
@@ -515,9 +520,6 @@
             self._next_trial(b, now)
         if now < self.cold_until[b]:
             self.allowance[b] -= 1
-        else:
-            self.between[b] += (min(now - self.last_send[b], RARE) - self.between[b]) * BETWEEN
-            self.last_send[b] = now
         self.out[b][trip] = None
         invocation.trips.append(trip)
         invocation.out += 1
@@ -586,7 +588,7 @@
         self.busy += len(self.out[b]) * ((trouble in COUNTED) - (before in COUNTED))
         self.slow_ones += (trouble is SLOW) - (before is SLOW)
         self.trouble[b] = trouble
-        self._draw_turn()
+        self._draw_turn(now)
 
     def _end(self, b, now, well=True):
         self._mark(b, None, now)
@@ -610,6 +612,8 @@
 
     def _sweep(self, now):
         self.sweep_at = now + SWEEP
+        if now >= self.redraw_at:
+            self._draw_turn(now)
         self._relieve(now)
         for row in self.table:
             row.asked *= FADE
@@ -712,7 +716,6 @@
                              (self.zone, None), (self.cell, None),
                              (self.started, 0), (self.left_at, now), (self.cold_until, 0),
                              (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
-                             (self.kind, None), (self.between, RARE), (self.last_send, now),
                              (self.weight, 1.0), (self.size, 0.0), (self.owed, self.pick(1000) / 1000),
                              (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
                              (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -74,7 +74,6 @@
     state: str
     zone: str
     cell: object
-    kind: str
     started: int        # 0: long ago
     weight: float = 1.0     # what it can bear beside others, as far as the list knows
 
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -25,7 +25,7 @@
 
 
 def listed(name, state=r.READY, zone="east", started=0):
-    return r.Listed(name, state, zone, 0, "box", started)
+    return r.Listed(name, state, zone, 0, started)
 
 
 class Scene:
