--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -41,9 +41,11 @@
 CROWD_FLOOR = 0.5       # trips; below this much over the mean nothing is crowded
 STRAIN = 0.75           # share of the expected time; slower answers mean that the fleet is filling up
 STRAINED = 0.05         # share of answers that may be so slow before fewer trips are let out
-LIMIT_STEP = 0.2       # share of the limit on trips out; how fast it follows
+LIMIT_TRIPS = 0.5       # trips; how fast the limit on trips out follows
+LIMIT_STEP = 0.2        # share of that limit; how fast it follows where it is a trip or two
 LIMIT_SPAN = 5000       # 0.5 s; the limit holds in the mean of about this, as a node's part may be under one
-LIMIT_PEAK = 1.5        # times the limit; so many may be out at once, and one more, while the mean allows
+PEAK_SMALL = 1.5        # times a limit of a trip or two, and one more: out at once while the mean allows
+PEAK_LARGE, PEAK_MORE = 0.8, 3  # times a limit of many trips, and trips: there the mean alone lets out too many
 LIMIT_LEAST = 2.0       # trips a backend, of all nodes together; it works on some while others wait or travel
 LIMIT_FIRST = 4.0       # trips a backend, of all nodes together; before anything was learned
 EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
@@ -320,7 +322,9 @@
                 heappop(queue)
                 return self._final(invocation)
             self._spend(now)
-            full = self.spare < 0 or self.busy >= 1 + LIMIT_PEAK * self.each * self.fleet
+            limit = self.each * self.fleet
+            peak = min(PEAK_SMALL * limit + 1, PEAK_LARGE * limit + PEAK_MORE)
+            full = self.spare < 0 or self.busy >= peak
             b = None if full else self._choose(invocation, now)
             if b is None:
                 break
@@ -566,10 +570,11 @@
 
     def _follow_strain(self, trip, now):
         """Fewer trips out when too many answers come close to their expected time, more when few do."""
+        step = min(LIMIT_STEP, LIMIT_TRIPS / (self.each * self.fleet))
         if now - trip.sent > STRAIN * trip.invocation.offering.expected:
-            self.each = max(LIMIT_LEAST / self.terms.nodes, self.each * (1 - LIMIT_STEP * (1 - STRAINED)))
+            self.each = max(LIMIT_LEAST / self.terms.nodes, self.each * (1 - step * (1 - STRAINED)))
         elif self.spare <= 0:
-            self.each *= 1 + LIMIT_STEP * STRAINED
+            self.each *= 1 + step * STRAINED
 
     def _begin(self, b, why, now):
         if self.trouble[b] is None:
