--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -34,8 +34,8 @@
 TYPICAL = 1 / 24        # share of a new answer in an offering's typical latency: about a second's worth
 ERRORS = 0.3            # share of a new outcome in the error level
 ERRORS_BAD, ERRORS_GOOD = 0.4, 0.2  # levels; two errors in a row start an outage, three good answers end it
-SILENT = 5.0            # times typical, summed over the trips out; chance silence is rarer
-SILENT_LEAST = 2.0      # times typical; one slow service must not look silent however many wait behind it
+SILENT = 6.0            # times typical, summed over the trips out; chance silence is rarer
+SILENT_LEAST = 2.5      # times typical; one slow service must not look silent however many wait behind it
 TRIAL_GAP, TRIAL_GAP_MOST = 1500, 10000   # 150 ms, 1 s; between trials, doubled after each bad one
 CROWD = 1.0             # times the mean in flight; far more than chance piles up on one backend
 CROWD_FLOOR = 0.5       # trips; below this much over the mean nothing is crowded
@@ -63,10 +63,11 @@
 OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
 HEED = 1 / 2            # share of a new weight of the list; live ones are late, and all nodes would swing
-GHOST = 1.0             # times typical; how long a trip that nobody waits for still counts as in flight
+GHOST = 1.5             # times typical; how long a trip that nobody waits for still counts as in flight
 WAITED = 0.1            # share of the expected time; an oldest held wait beyond it ranks what is held by gain
-FADE = 0.9975           # share left of what was asked and settled after each sweep: about 20 s are seen
+FADE = 0.999            # share left of what was asked and settled after each 50 ms: about 50 s are seen
 SWEEP = 500             # 50 ms; looking for silence costs little at this pace and finds it within one answer
+NEVER = 1 << 62         # a moment that does not come
 FORGET = 600000         # 60 s; a gone backend's index is used again after this, beyond any hard limit
 COME_BACK = 5000        # 0.5 s; advice to a bounced client under overload, the time a burst takes to pass
 
@@ -116,7 +117,7 @@
         self.in_view = max(FEWEST, int(self.asked * IN_VIEW)) if self.asked else None
         self.most = 0               # ready backends listed at once
         self.warm_pace = 0.0        # what a warm backend in view gets from this node, by size and time
-        self.redraw_at = now
+        self.redraw_at = NEVER
         self.rank, self.ranked = [], []
         self.turn, self.at = [], 0
         self.heaviest = 1.0
@@ -136,7 +137,8 @@
         self.spare, self.spare_at = 0.0, now    # trips x time that the limit has left over
         self.extra = EXTRA_MOST
         self.overloaded = False
-        self.sweep_at = now + SWEEP
+        self.flying, self.ailing = {}, {}       # backends with trips out, and those in trouble
+        self.sweep_at, self.swept = NEVER, now
 
     # Inputs: they update what is known.
 
@@ -176,7 +178,7 @@
         sound, size = 0, 0.0
         total = sum(map(self.size.__getitem__, self.ranked))
         enough = self.in_view and self.in_view * total
-        self.redraw_at = now + FORGET
+        self.redraw_at = NEVER
         for b in self.ranked:
             if enough is not None and size * len(self.ranked) >= enough:
                 break
@@ -184,6 +186,7 @@
             if now < self.cold_until[b]:
                 size += self.size[b] * self.terms.cold_from
                 self.redraw_at = min(self.redraw_at, self.cold_until[b])
+                self._due(self.redraw_at)
             elif self.trouble[b] in COUNTED:
                 size += self.size[b]
             sound += self.trouble[b] in COUNTED
@@ -217,6 +220,7 @@
         queue = self.held[o + invocation.repeat * len(self.table)]
         heappush(queue, (invocation.expected, self.count, invocation))
         self.line.append(invocation)
+        self._due(now + SWEEP)
 
     def _time_left(self, invocation):
         """How much of the expected time is left, which runs from the client's first try."""
@@ -246,6 +250,7 @@
         # that is likely to take: filled at once, the place would overdrive the backend.
         if outcome == TIMED_OUT or outcome == CALLED_OFF:
             trip.until = now + int(GHOST * self.table[invocation.offering.index].typical)
+            self._due(trip.until)
         else:
             self._leave_flight(b, trip, now)
         if trip.trial:
@@ -265,6 +270,8 @@
 
     def _leave_flight(self, b, trip, now):
         del self.out[b][trip]
+        if not self.out[b]:
+            del self.flying[b]
         if self.trouble[b] in COUNTED:
             self._spend(now)
             self.busy -= 1
@@ -324,6 +331,8 @@
             self._spend(now)
             limit = self.each * self.fleet
             peak = min(PEAK_SMALL * limit + 1, PEAK_LARGE * limit + PEAK_MORE)
+            if self.spare < 0 and limit > self.busy:
+                self._due(now + 1 - int(self.spare / (limit - self.busy)))
             full = self.spare < 0 or self.busy >= peak
             b = None if full else self._choose(invocation, now)
             if b is None:
@@ -339,11 +348,13 @@
 
     def wake(self, now):
         """When to call decide again, if nothing comes in before."""
-        if self.busy or self.again or any(self.held) or any(t is not None for t in self.trouble):
-            # A client's repeat may have so little time left that the next sweep would come after its limit.
-            waiting = self.again + [queue[0][2] for queue in self.held if queue]
-            return max(now + 1, min([self.sweep_at, *map(self._last_chance, waiting)]))
-        return None
+        # A client's repeat may have so little time left that the next sweep would come after its limit.
+        waiting = self.again + [queue[0][2] for queue in self.held if queue]
+        first = min([self.sweep_at, *map(self._last_chance, waiting)])
+        return max(now + 1, first) if first < NEVER else None
+
+    def _due(self, moment):
+        self.sweep_at = min(self.sweep_at, moment)
 
     def come_back_in(self, now):
         """Advice to a bounced client; 0 where there is none to give."""
@@ -391,6 +402,7 @@
             self.extra -= 1
             invocation.held = now
             self.again.append(invocation)
+            self._due(now + SWEEP)
         else:
             self.finals.append(self._final(invocation))
 
@@ -433,6 +445,8 @@
             line.popleft()
         waited = (now - line[0].held) / line[0].offering.expected if line else 0.0
         self.overloaded = waited > WAITED
+        if line:
+            self._due(now + SWEEP)
         if waited > PATIENCE:
             for invocation in line:
                 if not (invocation.over or invocation.trips) and self._over_share(invocation.member, now):
@@ -524,7 +538,8 @@
             self._next_trial(b, now)
         if now < self.cold_until[b]:
             self.allowance[b] -= 1
-        self.out[b][trip] = None
+        self.out[b][trip] = self.flying[b] = None
+        self._due(now + max(SWEEP, int(SILENT_LEAST * self.table[invocation.offering.index].typical)))
         invocation.trips.append(trip)
         invocation.out += 1
         if invocation.risky is None:
@@ -593,6 +608,11 @@
         self.busy += len(self.out[b]) * ((trouble in COUNTED) - (before in COUNTED))
         self.slow_ones += (trouble is SLOW) - (before is SLOW)
         self.trouble[b] = trouble
+        if trouble is None:
+            self.ailing.pop(b, None)
+        else:
+            self.ailing[b] = None
+            self._due(now + SWEEP)
         self._draw_turn(now)
 
     def _end(self, b, now, well=True):
@@ -614,40 +634,53 @@
             self.trial_gap[b] = min(TRIAL_GAP_MOST, self.trial_gap[b] * 2)
         self.trial_due[b] = False
         self.trial_at[b] = now + self.trial_gap[b]
+        self._due(self.trial_at[b])
 
     def _sweep(self, now):
-        self.sweep_at = now + SWEEP
+        """Looks after what is due: silence, trials, ends of rests, what is held too long."""
+        self.sweep_at = NEVER
         if now >= self.redraw_at:
             self._draw_turn(now)
+        self._due(min(self.redraw_at, now + SWEEP) if self.again else self.redraw_at)
         self._relieve(now)
+        fade = FADE ** ((now - self.swept) / SWEEP)
+        self.swept = now
         for row in self.table:
-            row.asked *= FADE
-            row.got *= FADE
-        for b in range(len(self.names)):
-            if self.out[b]:
-                self._listen(b, now)
-            if self.trouble[b] is not None and self.state[b] == READY:
-                if self.trouble[b] is SLOW and now >= self.until[b]:
-                    self._end(b, now, well=False)
-                elif not self.trial_due[b] and now >= self.trial_at[b] and not self.trials_out[b]:
-                    self._next_trial(b, now)
-                    if self.terms.may_probe and self.trouble[b] is not SLOW:
-                        self.probes.append(b)
-                    else:
-                        self.trial_due[b] = True
+            row.asked *= fade
+            row.got *= fade
+        for b in list(self.flying):
+            self._due(max(now + SWEEP, self._listen(b, now)))
+        for b in list(self.ailing):
+            if self.state[b] != READY:
+                continue
+            if self.trouble[b] is SLOW and now >= self.until[b]:
+                self._end(b, now, well=False)
+                continue
+            if not self.trial_due[b] and now >= self.trial_at[b] and not self.trials_out[b]:
+                self._next_trial(b, now)
+                if self.terms.may_probe and self.trouble[b] is not SLOW:
+                    self.probes.append(b)
+                else:
+                    self.trial_due[b] = True
+            if self.trouble[b] is SLOW or not self.trial_due[b]:
+                self._due(max(now + SWEEP, min(self.until[b], self.trial_at[b])))
 
     def _listen(self, b, now):
-        """With trips out and no answer for long, a backend is silent; what may be is sent elsewhere."""
+        """With trips out and no answer for long, a backend is silent; what may be is sent elsewhere.
+
+        Returns when to listen again.
+        """
         trips = self.out[b]
         for trip in [t for t in trips if t.outcome and now >= t.until]:
             self._leave_flight(b, trip, now)
         if not trips:
-            return
+            return NEVER
         oldest = next(iter(trips))
         quiet = now - max(self.last_answer[b], oldest.sent)
         typical = self.table[oldest.invocation.offering.index].typical * max(self.level[b], 1.0)
-        if quiet < SILENT_LEAST * typical or quiet * len(trips) < SILENT * typical:
-            return
+        patience = typical * max(SILENT_LEAST, SILENT / len(trips))
+        if quiet < patience:
+            return min(int(now - quiet + patience) + 1, *(t.until for t in trips if t.outcome), NEVER)
         if self.trouble[b] is not SILENCE:
             self._begin(b, SILENCE, now)
         for trip in list(trips):
@@ -659,6 +692,7 @@
                     and not self._hopeless(invocation, now)
                     and len(invocation.trips) < self.terms.most_trips):
                 self._call_off(trip)
+        return now
 
     # The forecast: two regressions, one from pause to work, one from work to time.
 
