--- a/tests/scene.py
+++ b/tests/scene.py
@@ -17,15 +17,14 @@
                  r.Offering(1, "hold", r.STAMPED, "zone", 300 * MS, 400 * MS, 1000 * MS, 3.0),
                  r.Offering(2, "pay", r.ONE_SHOT, "all", 0, 400 * MS, 1000 * MS, 8.0)]
     known = dict(offerings=offerings, members=[r.Member("north", 20.0), r.Member("south", 500.0)], number=0,
-                 nodes=1,
-                 most_trips=3, may_cancel=True, may_probe=True, retry_after=0, marks_repeats=False,
+                 nodes=1, most_trips=3, may_cancel=True, may_probe=True, retry_after=0, marks_repeats=False,
                  cold_for=8000 * MS, cold_from=0.25, tip_multiple=4.0, worst_offering=0.2)
     known.update(changed)
     return r.Terms(**known)
 
 
-def listed(name, state=r.READY, zone="east", started=0):
-    return r.Listed(name, state, zone, 0, started)
+def listed(name, state=r.READY, zone="east", started=0, weight=1.0):
+    return r.Listed(name, state, zone, 0, started, weight)
 
 
 class Scene:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -36,6 +36,34 @@
         self.check("crowded", scene.lines)
 
 
+    def test_turns_go_by_weight_and_level(self):
+        scene = Scene([listed("small"), listed("large", weight=2.0)])
+        scene.flow(30)
+        scene.say("large takes three times as long, one invocation a second")
+        for _ in range(24):
+            scene.flow(1, slow=("large",), slow_took=60)
+            scene.after(1000)
+        self.check("weights", [line.replace("1 went to", "to") for line in scene.lines])
+
+    def test_many_nodes_keep_few_in_view(self):
+        lines, names = [], [f"b{n}" for n in range(12)]
+        for number in (3, 4):
+            scene = Scene(names, nodes=20, number=number, members=[r.Member("north", 20.0)])
+            scene.say(f"node {number}")
+            scene.flow(6)
+            invocation = scene.take("a")
+            lost = scene.node.names[invocation.trips[0].backend]
+            scene.after(5)
+            scene.end("a", r.UNREACHABLE)
+            scene.after(20)
+            scene.end("a")
+            scene.flow(6)
+            scene.list([listed(lost, r.GONE), "b12"])
+            scene.flow(6)
+            lines += scene.lines
+        self.check("view", lines)
+
+
 class Health(TraceTest):
     def test_hang_is_no_pause(self):
         scene = Scene(["b0", "b1", "b2"], dead=("b1",))
@@ -94,7 +122,7 @@
         for outcome in (r.TURNED_AWAY, r.UNREACHABLE, r.NEVER_SENT,
                         r.ERROR, r.BROKEN, r.TIMED_OUT, r.CALLED_OFF):
             for offering, name in enumerate(("harmless", "stamped", "one-shot")):
-                scene = Scene(["b0", "b1", listed("w0", zone="west")])
+                scene = Scene(["b0", listed("w0", zone="west"), listed("w1", zone="west")])
                 scene.take(name, offering)
                 scene.after(5)
                 scene.end(name, outcome)
@@ -160,7 +188,7 @@
         self.check("slow_and_gone", scene.lines)
 
     def test_cold_backend_gets_its_part_only(self):
-        scene = Scene(["b0", "b1"], nodes=2)
+        scene = Scene(["b0", "b1"], members=[r.Member("north", 100.0)])
         scene.flow(40, took=10)
         scene.list([listed("cold", started=scene.now)])
         scene.flow(40, took=10)
@@ -169,7 +197,7 @@
         self.check("cold", scene.lines)
 
     def test_restart_from_an_old_list(self):
-        scene = Scene(["b0", "gone", listed("cold", started=9000 * MS)])
+        scene = Scene(["b0", "gone", listed("cold", started=9000 * MS)], members=[r.Member("north", 20.0)])
         scene.take("a", 2)
         scene.take("b", 2)
         scene.after(100)
@@ -191,25 +219,38 @@
         scene.after(300)
         self.check("overload", scene.lines)
 
+    def test_a_part_of_the_limit_under_one_trip_holds_in_the_mean(self):
+        scene = Scene(["b0", "b1", "b2"], nodes=24)
+        for n in range(3):
+            scene.take(f"i{n}")
+        scene.after(20)
+        for name in scene.out():
+            scene.end(name)
+        scene.after(90)
+        self.check("part", scene.lines)
+
     def test_what_gains_most_goes_first(self):
         scene = Scene(["b0"])
-        for n in range(4):
+        for n in range(7):
             scene.take(f"out{n}")
         for n in range(4):
             scene.take(f"look{n}")
             scene.take(f"pay{n}", 2)
         scene.after(60)
-        for n in range(4):
+        for n in range(7):
             scene.end(f"out{n}", note=False)
+        scene.after(50)
         self.check("gain", scene.lines)
 
     def test_repeats_go_after_first_tries(self):
         scene = Scene(["b0"], marks_repeats=True)
-        for n in range(4):
+        for n in range(7):
             scene.take(f"out{n}")
         scene.take("repeat", repeat=True)
         scene.take("first")
-        scene.end("out0", note=False)
+        for n in range(7):
+            scene.end(f"out{n}", note=False)
+        scene.after(5)
         self.check("repeats_last", scene.lines)
 
     def test_the_client_goes(self):
