--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -62,7 +62,6 @@
 COLD_BURST = 1.5        # trips saved up for a cold backend
 OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
-HEED = 1 / 2            # share of a new weight of the list; live ones are late, and all nodes would swing
 GHOST = 1.5             # times typical; how long a trip that nobody waits for still counts as in flight
 WAITED = 0.1            # share of the expected time; an oldest held wait beyond it ranks what is held by gain
 FADE = 0.999            # share left of what was asked and settled after each 50 ms: about 50 s are seen
@@ -105,7 +104,7 @@
         self.names, self.state, self.zone, self.cell = [], [], [], []
         self.started, self.left_at, self.cold_until = [], [], []
         self.allowance, self.allowed_at = [], []
-        self.weight, self.size, self.owed = [], [], []
+        self.size, self.owed = [], []
         self.out, self.last_answer = [], []
         self.quick, self.level, self.errors = [], [], []
         self.trouble, self.since, self.until, self.relapses = [], [], [], []
@@ -120,7 +119,7 @@
         self.redraw_at = NEVER
         self.rank, self.ranked = [], []
         self.turn, self.at = [], 0
-        self.heaviest = 1.0
+        self.largest = 1.0
         self.slow_ones = 0
         # What is held and out.
         # Heaps of (moment of the expected time, count, invocation): one an offering, then one for repeats.
@@ -156,7 +155,7 @@
                     continue
                 b = self._new_index(e.name, now)
             self.zone[b], self.cell[b] = e.zone, e.cell
-            self.weight[b] += (e.weight - self.weight[b]) * (HEED if self.state[b] == READY else 1)
+            # Live weights are late and would swing all nodes together; the largest seen is the size.
             self.size[b] = max(self.size[b], e.weight)
             if e.state != READY:
                 self._leave(b, e.state, now)
@@ -196,7 +195,7 @@
         self.most = max(self.most, len(self.ranked))
         if after:
             self.warm_pace = self.asked * len(self.ranked) ** 2 / (self.most * len(after) * total)
-        self.heaviest = max((self.weight[b] for b in after), default=1.0)
+        self.largest = max((self.size[b] for b in after), default=1.0)
         if after == before:
             return
         self.turn = after
@@ -472,7 +471,7 @@
             skip = self._skip(invocation, b, now)
             if skip is None:
                 # Even turns would overdrive the small machines at a load that the fleet can bear.
-                self.owed[b] += min(1.0, self.weight[b] / (self.heaviest * self.level[b]))
+                self.owed[b] += min(1.0, self.size[b] / (self.largest * self.level[b]))
                 if self.owed[b] >= 1:
                     self.owed[b] -= 1
                     self.at = place + 1 if place + 1 < count else 0
@@ -755,7 +754,7 @@
                              (self.zone, None), (self.cell, None),
                              (self.started, 0), (self.left_at, now), (self.cold_until, 0),
                              (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
-                             (self.weight, 1.0), (self.size, 0.0), (self.owed, self.pick(1000) / 1000),
+                             (self.size, 0.0), (self.owed, self.pick(1000) / 1000),
                              (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
                              (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
                              (self.relapses, 0),
