--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -45,7 +45,7 @@
 LIMIT_STEP = 0.2        # share of that limit; how fast it follows where it is a trip or two
 LIMIT_SPAN = 5000       # 0.5 s; the limit holds in the mean of about this, as a node's part may be under one
 PEAK_SMALL = 1.5        # times a limit of a trip or two, and one more: out at once while the mean allows
-PEAK_LARGE, PEAK_MORE = 0.8, 3  # times a limit of many trips, and trips: there the mean alone lets out too many
+PEAK_LARGE, PEAK_MORE = 0.8, 3  # times a limit of many trips, and trips; there the mean alone is loose
 LIMIT_LEAST = 2.0       # trips a backend, of all nodes together; it works on some while others wait or travel
 LIMIT_FIRST = 4.0       # trips a backend, of all nodes together; before anything was learned
 EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
@@ -56,7 +56,7 @@
 USUAL = 0.02            # share; a try with this much less time than first ones was cut by the hard limit
 VOTES_MOST = 50         # tries; how many it takes to change what is usual, about a second's worth
 PATIENCE = 0.3          # share of the expected time; held longer, it is bounced, as is what is over its share
-IN_VIEW = 5000         # 2 s; a backend seen less often is not known to be well, nor how full it is
+IN_VIEW = 5000          # 0.5 s; of a backend seen less often it is not known how full it is
 FEWEST = 2              # backends; with fewer a node could lose all to one outage
 COLD_MARGIN = 0.5       # share of the cold budget used; the rest is for uneven nodes, machines and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
@@ -194,7 +194,9 @@
         self.fleet = self.sound * len(self.ranked) / max(1, len(after))
         self.most = max(self.most, len(self.ranked))
         if after:
-            self.warm_pace = self.asked * len(self.ranked) ** 2 / (self.most * len(after) * total)
+            # Where members have no shares, what was settled lately: what is asked may be an overload.
+            asked = self.asked or sum(row.got for row in self.table) * (1 - FADE) / SWEEP
+            self.warm_pace = asked * len(self.ranked) ** 2 / (self.most * len(after) * total)
         self.largest = max((self.size[b] for b in after), default=1.0)
         if after == before:
             return
@@ -500,7 +502,8 @@
             # Shared trouble: when most backends are slow at once, skipping them all helps nobody.
             if self.slow_ones * 2 <= len(self.turn):
                 return SLOW
-        if self.out[b] and (len(self.out[b]) + 1) * self.level[b] > 1 + CROWD_FLOOR + CROWD * self.busy / self.sound:
+        most = 1 + CROWD_FLOOR + CROWD * self.busy / self.sound
+        if self.out[b] and (len(self.out[b]) + 1) * self.level[b] > most:
             return "crowded"
         forecast = self.forecast[b]
         if forecast is not None:
