The least limit is up to a trip higher where a node has backends enough to even out its trips

Cause of the small twins that had fallen: one node that sees all was held to two trips a backend, as one of hundreds must be.

--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -47,6 +47,7 @@
 PEAK_SMALL = 1.5        # times a limit of a trip or two, and one more: out at once while the mean allows
 PEAK_LARGE, PEAK_MORE = 0.8, 3  # times a limit of many trips, and trips; there the mean alone is loose
 LIMIT_LEAST = 2.0       # trips a backend, of all nodes together; it works on some while others wait or travel
+LIMIT_OWN = 1.0         # trips a backend more, in full where there are two backends for each node
 LIMIT_FIRST = 4.0       # trips a backend, of all nodes together; before anything was learned
 EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
 EXTRA_MOST = 20.0       # further trips saved up, for a burst of losses when a backend dies
@@ -589,7 +590,9 @@
         """Fewer trips out when too many answers come close to their expected time, more when few do."""
         step = min(LIMIT_STEP, LIMIT_TRIPS / (self.each * self.fleet))
         if now - trip.sent > STRAIN * trip.invocation.offering.expected:
-            self.each = max(LIMIT_LEAST / self.terms.nodes, self.each * (1 - step * (1 - STRAINED)))
+            # With many trips of its own a node evens them out, and may fill backends more than one of hundreds.
+            least = LIMIT_LEAST + LIMIT_OWN * min(1.0, self.fleet / self.terms.nodes / 2)
+            self.each = max(least / self.terms.nodes, self.each * (1 - step * (1 - STRAINED)))
         elif self.spare <= 0:
             self.each *= 1 + step * STRAINED
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -229,6 +229,16 @@
         scene.after(90)
         self.check("part", scene.lines)
 
+    def test_the_least_limit_is_higher_where_a_node_evens_out_its_trips(self):
+        scene = Scene([])
+        for nodes in (1, 3, 24, 240):
+            crowd = Scene([f"b{n}" for n in range(6)], nodes=nodes)
+            for _ in range(60):
+                crowd.flow(1, took=390)
+                crowd.after(5000)
+            scene.say(f"{nodes} nodes, six backends: {crowd.node.each * nodes:.2f} trips a backend at the least")
+        self.check("least", scene.lines)
+
     def test_what_gains_most_goes_first(self):
         scene = Scene(["b0"])
         for n in range(7):
