SIGHUP moves discovery; a link with more behind an answer is never used again

The node ended with 129 at SIGHUP (no handler: host.py set SIGTERM and SIGINT only). Checked: an answer that is followed at once by a second one is read into the same buffer; LinkSocket.run told REPLIED with keep still true, the link went idle and in the same turn out with the next trip, and write() looks only into the kernel's buffer, so the copy settled the next trip. Ruled out: spoilt heads (told as malformed, link closed). Now: SIGHUP reads the file again, discovery moves at once with a follower of its own, whole list first; a file that can't be used leaves one line. A link whose buffer holds more behind an answer is ended.

--- a/pierglade/__main__.py
+++ b/pierglade/__main__.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import signal
 import sys
 from dataclasses import dataclass
 
@@ -23,9 +24,10 @@
     sockets: int
     known: dict
     terms: Terms
+    told: dict          # the file itself
 
 
-class Unusable(Exception):
+class Unusable(ValueError):
     """What was told is not enough to start on."""
 
 
@@ -49,7 +51,7 @@
             listen=environ.get("BALANCER_LISTEN") or told["listen"],
             discovery=environ.get("BALANCER_DISCOVERY") or told["discovery"],
             seed=told["seed"], sockets=int((told.get("limits") or {}).get("sockets") or SOCKETS),
-            known=told.get("known") or {}, terms=terms_from(told["settings"]))
+            known=told.get("known") or {}, terms=terms_from(told["settings"]), told=told)
     except (KeyError, TypeError, ValueError, AttributeError) as fault:
         raise Unusable(f"{path}: {type(fault).__name__}: {fault}") from None
     for address in (place.listen, place.discovery):
@@ -61,7 +63,14 @@
     return place
 
 
+def place_again():
+    """The configuration file as it is now; what it says of discovery wins over what the start was told."""
+    return place_from({**os.environ, "BALANCER_DISCOVERY": ""})
+
+
 def main():
+    # A new configuration that is told during the start must not end it: the file is read after this.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         place = place_from(os.environ)
         # Imported late, so that a bad configuration is told with nothing else loaded.
@@ -76,7 +85,7 @@
         print(f"pierglade: {fault}", file=sys.stderr)
         return 2
     gc.freeze()     # What is loaded stays; collections need not look at it again.
-    return host.run()
+    return host.run(place_again)
 
 
 if __name__ == "__main__":
--- a/pierglade/net/backends.py
+++ b/pierglade/net/backends.py
@@ -16,31 +16,38 @@
         self.whole = False      # the last byte of the request that is out was handed to the kernel
 
     def run(self):
-        """Opens the connection, then reads until it ends. What ends it is told with what was written."""
-        how, reason = reducer.REFUSED, "refused"
+        """Opens the connection, then reads until it ends."""
         try:
             host, _, port = self.link.address.rpartition(":")
             self.sock.connect((host, int(port)))
             sending.set_up(self.sock)
-            how = reducer.BROKE
-            self.tell(reducer.UP, self.link)
-            reason = "closed by the backend"
+        except OSError as fault:
+            return self._ended(reducer.REFUSED, f"refused: {fault.strerror or fault}")
+        self.tell(reducer.UP, self.link)
+        self.read()
+
+    def read(self):
+        try:
             while count := self.sock.recv_into(self.answers.room()):
                 self.answers.filled(count)
                 while (message := self.answers.next()) is not None:
                     # An answer that comes before its request is written whole leaves the rest in the way.
-                    message.keep = message.keep and self.whole
+                    # What comes behind an answer, a second copy say, would answer the link's next trip.
+                    message.keep = message.keep and self.whole and not self.answers.more()
                     self.kept, self.whole = True, False
                     self.tell(reducer.REPLIED, self.link, message)
                     self.answers.release()
                 if self.answers.begun() and self.link.state is reducer.IDLE:
                     # The next answer could not be told from bytes that nobody asked for.
-                    reason = "unasked bytes"
-                    break
+                    return self._ended(reducer.BROKE, "unasked bytes")
         except Malformed as fault:
-            how, reason = reducer.GARBLED, f"malformed answer: {fault}"
+            return self._ended(reducer.GARBLED, f"malformed answer: {fault}")
         except OSError as fault:
-            reason = f"broke: {fault.strerror or fault}"
+            return self._ended(reducer.BROKE, f"broke: {fault.strerror or fault}")
+        self._ended(reducer.BROKE, "closed by the backend")
+
+    def _ended(self, how, reason):
+        """What ended it is told with whether the request that was out was written whole."""
         self.tell(reducer.LINK_ENDED, self.link, how, self.whole, reason)
 
     def write(self, head, body):
--- a/pierglade/net/discovery.py
+++ b/pierglade/net/discovery.py
@@ -60,15 +60,17 @@
         self.host = host
         self.index = None   # version to follow from; None: the whole list is wanted
         self.sock = None
+        self.left = False
 
     def run(self):
-        while True:
+        while not self.left:
             try:
                 if self.index is None:
                     self._whole_list()
                 self._follow()
             except (OSError, Lost, Malformed, httptools.HttpParserError, ValueError) as fault:
-                self.host.tell(reducer.NO_WORD, f"{type(fault).__name__}: {fault}")
+                if not self.left:
+                    self.host.tell(reducer.NO_WORD, f"{type(fault).__name__}: {fault}")
             finally:
                 self._close()
             gevent.sleep(AGAIN)
@@ -78,6 +80,11 @@
         self.index = None
         self._close()
 
+    def leave(self):
+        """Nothing that was read here is told from now on."""
+        self.left = True
+        self._close()
+
     def _close(self):
         if self.sock is not None:
             sending.hang_up(self.sock)
@@ -92,6 +99,9 @@
         return self.sock
 
     def _tell(self, line):
+        if self.left:
+            # Read before the move, told after it, it would stand in the list of the new place.
+            raise Lost("moved")
         document = orjson.loads(line)
         self.index = document.get("index") if isinstance(document, dict) else None
         self.host.tell(reducer.HEARD, document)
--- a/pierglade/net/host.py
+++ b/pierglade/net/host.py
@@ -25,11 +25,12 @@
         self.clock = Clock()
         self.log = Log(sys.stdout.fileno(), place.name)
         self.door = Door(place.listen, self)
-        self.discovery = Discovery(place.discovery, self)
+        self.follow(place.discovery)
         self.done = Event()
         self.timer = Timer(self.clock, self._woke)
         sockets = place.sockets - len(os.listdir("/proc/self/fd"))
-        self.reducer = rd.Reducer(place.seed, place.terms, self.clock.now(), sockets)
+        self.reducer = rd.Reducer(place.seed, place.terms, self.clock.now(), sockets, place.discovery,
+                                  place.told)
         self.reducer.known(place.known)
         self.inbox, self.working = deque(), False
         self.carriers = {
@@ -39,15 +40,17 @@
             rd.CONNECT: self._connect,
             rd.WRITE: lambda link, head, body: link.io.write(head, body),
             rd.END_LINK: self._end,
-            rd.RELIST: self.discovery.relist,
+            rd.RELIST: lambda: self.discovery.relist(),
+            rd.MOVE: self._move,
             rd.CLOSE_DOOR: self.door.close,
             rd.EXIT: self.done.set,
             rd.NOTE: lambda event, fields: self.note(event, **fields)}
 
-    def run(self):
+    def run(self, place_again):
         """Serves until it was told to stop and nothing is owed."""
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self.tell, rd.STOP)
+        gevent.signal_handler(signal.SIGHUP, self._reread, place_again)
         self.spawn(self.discovery.run)
         self.spawn(self.door.run)
         self.tell(rd.WOKE)
@@ -56,6 +59,24 @@
         self.note("stopped")
         return 0
 
+    def follow(self, address):
+        self.discovery = Discovery(address, self)
+
+    def _move(self, address):
+        """Discovery is elsewhere: a new follower, so that no version, line or link of the old passes over."""
+        self.discovery.leave()
+        self.follow(address)
+        self.spawn(self.discovery.run)
+
+    def _reread(self, place_again):
+        """A file that can't be used leaves everything as it is: half replaced, it must not end the node."""
+        try:
+            place = place_again()
+        except ValueError as fault:
+            self.note("configuration refused", why=str(fault))
+        else:
+            self.tell(rd.CONFIGURED, place.discovery, place.told)
+
     def note(self, event, **fields):
         self.log.line(self.clock.now(), event, **fields)
 
--- a/pierglade/net/http.py
+++ b/pierglade/net/http.py
@@ -66,6 +66,10 @@
         """Whether a message has begun that is not whole yet."""
         return not self.held and self.end > self.start
 
+    def more(self):
+        """Whether bytes have come behind the message in hand."""
+        return self.end > self.at
+
     def expects_go_on(self):
         """Whether the sender of a body waits for a word before it sends it."""
         return (self.headed and not self.over and self.end == self.body_from
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -14,12 +14,14 @@
 from pierglade.net import http
 
 # Events.
-OPENED, BEGUN, ASKED, FAULTY, ANSWERED, CLIENT_ENDED, UP, REPLIED, LINK_ENDED, HEARD, NO_WORD, STOP, WOKE = (
+(OPENED, BEGUN, ASKED, FAULTY, ANSWERED, CLIENT_ENDED, UP, REPLIED, LINK_ENDED, HEARD, NO_WORD, CONFIGURED,
+ STOP, WOKE) = (
     "opened", "begun", "asked", "faulty", "answered", "client ended", "up", "replied", "link ended", "heard",
-    "no word", "stop", "woke")
+    "no word", "configured", "stop", "woke")
 # Effects.
-ANSWER, LET_GO, END_CLIENT, CONNECT, WRITE, END_LINK, RELIST, CLOSE_DOOR, EXIT, NOTE = (
-    "answer", "let go", "end client", "connect", "write", "end link", "relist", "close door", "exit", "note")
+ANSWER, LET_GO, END_CLIENT, CONNECT, WRITE, END_LINK, RELIST, MOVE, CLOSE_DOOR, EXIT, NOTE = (
+    "answer", "let go", "end client", "connect", "write", "end link", "relist", "move", "close door", "exit",
+    "note")
 
 # Constants. Times are tenths of a millisecond.
 MARGIN = 200            # 20 ms; a trip times out this much ahead of the limit, so a late loop still answers
@@ -45,6 +47,9 @@
 REPLACED = (b"x-expires-in-ms",)                # headers of a request that are written anew
 KEPT_BACK = (b"endpoint-load-metrics",)         # headers of an answer that are for the node
 
+# What of a configuration is read at the start only.
+FIXED = ("name", "listen", "limits", "settings")
+
 # What a client's connection is doing.
 IDLE, READING, OWED, WRITING, LINGERING, ENDED = "idle", "reading", "owed", "writing", "lingering", "ended"
 # What a link is doing, beside IDLE and ENDED.
@@ -100,7 +105,7 @@
 
 
 class Reducer:
-    def __init__(self, seed, terms, now, sockets):
+    def __init__(self, seed, terms, now, sockets, discovery="", told=None):
         self.terms = terms
         self.node = Node(seed, terms, now)
         self.offerings = {o.name.encode(): o for o in terms.offerings}
@@ -111,6 +116,7 @@
         self.yielding = 0               # clients that were asked to make room
         self.carried = {}               # trip to its link
         self.backends = {}
+        self.discovery, self.told = discovery, told or {}
         self.index = None               # version of the list that discovery last told
         self.no_word = None             # why discovery is lost, noted once
         self.ready = False
@@ -121,8 +127,8 @@
         self.handlers = {
             OPENED: self._opened, BEGUN: self._begun, ASKED: self._asked, FAULTY: self._faulty,
             ANSWERED: self._answered, CLIENT_ENDED: self._client_ended, UP: self._up, REPLIED: self._replied,
-            LINK_ENDED: self._link_ended, HEARD: self._heard, NO_WORD: self._no_word, STOP: self._stop,
-            WOKE: self._woke}
+            LINK_ENDED: self._link_ended, HEARD: self._heard, NO_WORD: self._no_word,
+            CONFIGURED: self._configured, STOP: self._stop, WOKE: self._woke}
 
     def apply(self, now, kind, *what):
         self.now, self.effects = max(now, self.now), []
@@ -564,6 +570,16 @@
             self.no_word = why
             self._note("discovery lost", why=why)
 
+    def _configured(self, discovery, told):
+        """A new configuration: discovery is followed where it is now; the list is kept until it is heard."""
+        changed = {key for key in FIXED if told.get(key) != self.told.get(key)}
+        self._note("configuration read", discovery=discovery, moved=discovery != self.discovery,
+                   needs_restart=sorted(changed))
+        if discovery != self.discovery:
+            self.discovery = discovery
+            self.index = self.no_word = None    # Versions are the old place's own.
+            self._do(MOVE, discovery)
+
     def _apply_list(self, document, whole):
         entries = [(r.Listed(e["name"], STATES[e["status"]], e.get("zone"), e.get("group"),
                              int(e.get("since_ms") or 0) * 10, float(e.get("weight", 1.0))),
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -149,12 +149,12 @@
                 event, fields = rest
                 self.say(" ".join(["note", event, *(f"{k}={v}" for k, v in fields.items() if k != "ms")]))
                 continue
-            subject = rest[0] if rest else None
+            subject = rest.pop(0) if rest and not isinstance(rest[0], str) else None
             if effect is rd.CONNECT:
                 subject.io = Wire(f"link {len(self.links)}")
                 self.links.append(subject)
-                rest[1:] = [subject.name]
-            texts = [p if isinstance(p, str) else bytes(p).decode().replace("\r\n", "|") for p in rest[1:]]
+                rest = [subject.name]
+            texts = [p if isinstance(p, str) else bytes(p).decode().replace("\r\n", "|") for p in rest]
             self.say(" ".join([effect, *([subject.io.name] if subject else []), *texts]).rstrip())
 
     def after(self, ms):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -17,6 +17,7 @@
 from pierglade import __main__ as start
 from pierglade.net import discovery, http
 from pierglade.net import reducer as rd
+from pierglade.net.backends import LinkSocket
 from pierglade.net.clock import Timer
 from pierglade.net.log import Log
 from tests.scene import TraceTest, entry
@@ -219,6 +220,37 @@
         self.check("net_following", [line for line, _ in itertools.groupby(lines)])
 
 
+    def test_nothing_of_a_place_that_was_left_is_told(self):
+        """A line that was read before the move must not stand in the list of the new place."""
+        told = []
+
+        def tell(kind, what):
+            told.append(f"{kind} {what}")
+            watch.leave()
+
+        peer = Peer(lambda message: CHUNKED + b"c\r\n{\"index\":9}\n\r\n" * 2)
+        watch = discovery.Discovery(peer.address, mock.Mock(tell=tell))
+        watch.index = 1
+        watch.run()
+        self.assertEqual(told, ["heard {'index': 9}"])
+
+
+class Links(TraceTest):
+    def test_what_comes_behind_an_answer(self):
+        """A good answer settles; with more behind it the link is not used again."""
+        lines = []
+        for behind in (b"", answer(200, b"copy"), b"\x00noise"):
+            ours, theirs = socket.socketpair()
+            link = LinkSocket(mock.Mock(state=rd.BUSY), lambda kind, _, *what: lines.append(
+                f"{kind} {[f'keep {w.keep}' if isinstance(w, http.Message) else w for w in what]}"))
+            link.sock, link.whole = gevent.socket.socket(fileno=ours.detach()), True
+            theirs.sendall(answer(200, b"good") + behind)
+            theirs.close()
+            link.read()
+            link.sock.close()
+        self.check("net_behind", lines)
+
+
 class Sockets(TraceTest):
     """One node as a process; waits are for what must come, never for a time to pass."""
 
@@ -226,14 +258,16 @@
         self.backend = Peer(self.serve)
         known = {"index": 1, "snapshot": True, "endpoints": [entry("b0", address=self.backend.address)]}
         whole = answer(200, json.dumps(known).encode())
-        agent = Peer(lambda message: CHUNKED if b"follow" in message.url else whole)
+        agent, self.agent = (Peer(lambda message: CHUNKED if b"follow" in message.url else whole)
+                             for _ in range(2))
         self.folder = tempfile.TemporaryDirectory()
-        path = os.path.join(self.folder.name, "config.json")
-        with open(path, "w") as file:
-            json.dump({"name": "n1", "listen": "127.0.0.1:0", "discovery": agent.address, "seed": "8c",
-                       "settings": SETTINGS, "known": known}, file)
+        self.path = path = os.path.join(self.folder.name, "config.json")
+        self.told = {"name": "n1", "listen": "127.0.0.1:0", "discovery": agent.address, "seed": "8c",
+                     "settings": SETTINGS, "known": known}
+        self.configure(json.dumps(self.told))
         self.node = subprocess.Popen([sys.executable, "-m", "pierglade"], stdout=subprocess.PIPE,
-                                     env={**os.environ, "BALANCER_CONFIG": path})
+                                     env={**os.environ, "BALANCER_CONFIG": path,
+                                          "BALANCER_DISCOVERY": agent.address})
         started = json.loads(self.node.stdout.readline())
         host, _, port = started["listen"].rpartition(":")
         self.place = host, int(port)
@@ -245,6 +279,17 @@
         self.node.stdout.close()
         self.folder.cleanup()
 
+    def configure(self, text):
+        with open(self.path, "w") as file:
+            file.write(text)
+
+    def events(self, until):
+        """What the node logs, up to the first line of this event."""
+        lines = []
+        while not lines or lines[-1]["event"] != until:
+            lines.append(json.loads(self.node.stdout.readline()))
+        return lines
+
     def serve(self, message):
         if b"break" in message.url:
             return None
@@ -265,6 +310,18 @@
                 inbox.release()
         return lines
 
+    def test_a_new_configuration_moves_discovery(self):
+        self.configure("{")
+        self.node.send_signal(signal.SIGHUP)
+        lines = [line["event"] for line in self.events("configuration refused")[-1:]]
+        self.configure(json.dumps({**self.told, "discovery": self.agent.address}))
+        self.node.send_signal(signal.SIGHUP)
+        lines += [f"moved {line['moved']}" for line in self.events("configuration read")[-1:]]
+        while len(self.agent.seen) < 2:
+            gevent.sleep(0.001)
+        lines += self.agent.seen + self.ask(b"GET /health/ready HTTP/1.1\r\n%s\r\n" % HOST)
+        self.check("net_configured", lines)
+
     def test_serves_and_stops(self):
         traced = HOST + b"X-Trace-Id: t\r\nX-Expires-In-Ms: 900\r\n"
         get = b"GET /look/%s HTTP/1.1\r\n" + traced + b"\r\n"
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -170,6 +170,18 @@
         self.assertLess(len(desk.reducer.due), 40)
 
 
+    def test_a_new_configuration(self):
+        """Discovery elsewhere: nothing is forgotten until its whole list is there, whatever its version."""
+        desk = Desk(["b0", "b1"])
+        told = {"discovery": "127.0.0.1:1", "limits": {"sockets": 9}, "seed": "other"}
+        desk.tell(rd.CONFIGURED, "127.0.0.1:1", told)
+        desk.tell(rd.CONFIGURED, "127.0.0.1:1", told)
+        desk.ask("c0", "/health/ready", "GET")
+        desk.hear([entry("b1", "DELETED")], 0, whole=False)
+        desk.hear(["b0"], 0)
+        self.check("node_configured", desk.lines)
+
+
 class Clients(TraceTest):
     def test_bad_requests(self):
         desk = Desk(["b0"])
