--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -68,7 +68,8 @@
 FADE = 0.999            # share left of what was asked and settled after each 50 ms: about 50 s are seen
 SWEEP = 500             # 50 ms; looking for silence costs little at this pace and finds it within one answer
 NEVER = 1 << 62         # a moment that does not come
-FORGET = 600000         # 60 s; a gone backend's index is used again after this, beyond any hard limit
+FORGET = 2              # times the longest hard limit; then a gone backend's index is used again
+COMES_BACK = 20000      # 2 s; a client that was not settled asks again within this or not at all
 COME_BACK = 5000        # 0.5 s; advice to a bounced client under overload, the time a burst takes to pass
 
 # Why a backend takes trials only.
@@ -115,6 +116,7 @@
         # The rotation: the first of the ready backends by rank, as many as this node can keep in view.
         self.asked = sum(member.per_second for member in terms.members) / terms.nodes / 10000
         self.in_view = max(FEWEST, int(self.asked * IN_VIEW)) if self.asked else None
+        self.forget = FORGET * max(o.hard_limit for o in terms.offerings)
         self.most = 0               # ready backends listed at once
         self.warm_pace = 0.0        # what a warm backend in view gets from this node, by size and time
         self.redraw_at = NEVER
@@ -136,6 +138,7 @@
         self.each = LIMIT_FIRST / terms.nodes   # how many trips this node may have out for each of those
         self.spare, self.spare_at = 0.0, now    # trips x time that the limit has left over
         self.extra = EXTRA_MOST
+        self.unsettled = 0.0        # invocations that their clients may come back with
         self.overloaded = False
         self.flying, self.ailing = {}, {}       # backends with trips out, and those in trouble
         self.sweep_at, self.swept = NEVER, now
@@ -239,8 +242,12 @@
             if self.terms.marks_repeats:
                 return min(left, offering.expected)
         # Less time than first tries bring shows a late repeat, whose expected time may be over: worked on
-        # before the others it would fill the fleet with answers worth nothing.
-        spent = offering.hard_limit - left if left < (1 - USUAL) * usual else 0
+        # before the others it would fill the fleet with answers worth nothing. There are no more of them than
+        # were not settled: beyond that it is clients with less patience, who are turned away for nothing.
+        spent = 0
+        if left < (1 - USUAL) * usual and self.unsettled >= 1:
+            self.unsettled -= 1
+            spent = offering.hard_limit - left
         return min(left, offering.expected - spent)
 
     def returned(self, now, trip, outcome, took, done):
@@ -292,6 +299,7 @@
         """The client has gone; no answer is owed."""
         if not invocation.over:
             invocation.over = True
+            self.unsettled += 1
             self._call_off_rest(invocation)
 
     def probed(self, now, name, good, took):
@@ -389,6 +397,7 @@
 
     def _final(self, invocation):
         invocation.over = True
+        self.unsettled += 1
         return BOUNCE if self._may_bounce(invocation) else GIVE_UP, invocation
 
     def _hopeless(self, invocation, now):
@@ -668,6 +677,7 @@
         self._due(min(self.redraw_at, now + SWEEP) if self.again else self.redraw_at)
         self._relieve(now)
         fade = FADE ** ((now - self.swept) / SWEEP)
+        self.unsettled *= max(0.0, 1 - (now - self.swept) / COMES_BACK)
         self.swept = now
         for row in self.table:
             row.asked *= fade
@@ -723,13 +733,13 @@
     def _sample(self, b, now):
         self.work[b] += 1
         work, samples, sums = self.work[b], self.samples[b], self.sums[b]
-        samples.append((work, now))
+        samples.append(now)     # Each is one unit of work after the one before.
         sums[0] += work
         sums[1] += now
         sums[2] += work * work
         sums[3] += work * now
         while len(samples) > self.window[b]:
-            old_work, old_now = samples.popleft()
+            old_work, old_now = work - len(samples) + 1, samples.popleft()
             sums[0] -= old_work
             sums[1] -= old_now
             sums[2] -= old_work * old_work
@@ -771,9 +781,11 @@
 
     def _new_index(self, name, now):
         b = next((b for b, state in enumerate(self.state)
-                  if state == GONE and not self.out[b] and now - self.left_at[b] > FORGET), len(self.names))
+                  if state == GONE and not self.out[b] and now - self.left_at[b] > self.forget),
+                 len(self.names))
         if b < len(self.names):
             del self.index[self.names[b]]
+            self.ailing.pop(b, None)    # What ailed the one before must not cost the new one probes.
         rank = blake2b(f"{self.terms.number} {name}".encode(), digest_size=8).digest()
         for array, first in ((self.names, name), (self.rank, rank), (self.state, GONE),
                              (self.zone, None), (self.cell, None),
--- a/pierglade/net/backends.py
+++ b/pierglade/net/backends.py
@@ -37,9 +37,12 @@
                     self.kept, self.whole = True, False
                     self.tell(reducer.REPLIED, self.link, message)
                     self.answers.release()
-                if self.answers.begun() and self.link.state is reducer.IDLE:
-                    # The next answer could not be told from bytes that nobody asked for.
-                    return self._ended(reducer.BROKE, "unasked bytes")
+                if self.answers.begun():
+                    if self.link.state is reducer.IDLE:
+                        # The next answer could not be told from bytes that nobody asked for.
+                        return self._ended(reducer.BROKE, "unasked bytes")
+                    if not self.link.replying:
+                        self.tell(reducer.REPLYING, self.link)
         except Malformed as fault:
             return self._ended(reducer.GARBLED, f"malformed answer: {fault}")
         except OSError as fault:
--- a/pierglade/net/clients.py
+++ b/pierglade/net/clients.py
@@ -9,6 +9,8 @@
 
 BACKLOG = 4096      # connections; whatever the kernel's queue holds counts as taken
 PAUSE = 0.01        # s; until descriptors are free again, should accepting fail
+THROWN_MOST = 1 << 20   # bytes; read after the last answer so that it is not reset away, but not 60 MB
+THROWN = memoryview(bytearray(65536))   # where all of them read what nobody wants
 
 
 class ClientSocket:
@@ -18,7 +20,8 @@
         self.sock, self.tell = sock, tell
         self.requests = Requests()
         self.read_on = Event()
-        self.last = False       # the last answer is written: what still comes is thrown away
+        self.last = False       # what still comes is thrown away: it follows a fault or the last answer
+        self.thrown = 0         # bytes
         self.client = None      # the reducer's, set as it is told
         sending.set_up(sock)
         tell(reducer.OPENED, self)
@@ -27,7 +30,7 @@
         reason = "client closed"
         try:
             while True:
-                room = self.requests.room()
+                room = THROWN if self.last else self.requests.room()
                 if room is None:
                     # More than one request ahead: its end is not seen until the one in hand is answered.
                     self.read_on.clear()
@@ -39,6 +42,12 @@
                 if not self.last:
                     self.requests.filled(count)
                     self._take()
+                    continue
+                self.thrown += count
+                if self.thrown > THROWN_MOST:
+                    reason = "sends on after its last answer"
+                    break
+                gevent.sleep(0)     # It may send at full speed, and must not have the core to itself.
         except OSError as fault:
             reason = f"broke: {fault.strerror}"
         self.tell(reducer.CLIENT_ENDED, self.client, reason)
@@ -47,9 +56,13 @@
         try:
             message = self.requests.next()
         except Malformed as fault:
+            # Where the fault ends nobody can tell: nothing behind it is read as a request.
+            self.last = True
             self.tell(reducer.FAULTY, self.client, fault.status)
             return
         if message is not None:
+            # Whoever sends on before the answer is served once: hundreds in a row take no turn of others.
+            message.keep = message.keep and not self.requests.more()
             self.tell(reducer.ASKED, self.client, message)
         elif self.requests.begun():
             self.tell(reducer.BEGUN, self.client)
--- a/pierglade/net/http.py
+++ b/pierglade/net/http.py
@@ -1,15 +1,27 @@
 """HTTP/1.1 messages: httptools reads them, and they stay slices of the buffer that they were read into."""
 
+import re
+
 import httptools
 
 HEAD_MOST = 16384       # bytes of start line and headers; what common servers take
 BODY_MOST = 65536       # bytes of a body; the protocol's most
 FIRST_ROOM = 4096       # bytes a connection starts with; nearly all heads fit
 CHUNKS_MOST = 4 * BODY_MOST     # bytes of a chunked body as sent; beyond it is more framing than body
+INTERIM_MOST = 8        # answers 1xx ahead of the real one; a backend has no use for more
+LENGTH_DIGITS = 18      # digits of a length; longer ones are refused before they are counted with
+
+# What a head may be made of. Parsers bear more than this, and not all of them the same: what one takes for
+# one message, the next may take for two.
+TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+FIELDS = rb"(?:" + TOKEN + rb":[^\r\n\0]*+\r\n)*+(?:\r\n)?"
+REQUEST_LINE = TOKEN + rb" [\x21\x22\x24-\x7e]+ HTTP/1\.[01]\r\n"
+STATUS_LINE = rb"HTTP/1\.[01] [1-5][0-9][0-9](?: [^\r\n\0]*+)?\r\n"
 
 HOP_BY_HOP = frozenset((
     b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te",
     b"trailer", b"transfer-encoding", b"upgrade", b"content-length", b"expect"))
+FRAMING = frozenset((b"content-length", b"transfer-encoding"))
 GO_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
 PHRASES = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
            413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
@@ -27,13 +39,14 @@
 class Message:
     """A request or an answer. `body` is a slice of the buffer, good until the inbox lets go of it."""
 
-    __slots__ = ("method", "url", "status", "headers", "fields", "body", "keep", "version")
+    __slots__ = ("method", "url", "status", "headers", "fields", "doubled", "body", "keep", "version")
 
     def __init__(self):
         self.method = self.url = b""
         self.status = 0
         self.headers = []   # (name, value) as they came
         self.fields = {}    # the last value by name in small letters
+        self.doubled = ()   # the names in small letters that came more than once
         self.body = b""
         self.keep = False
         self.version = "1.1"
@@ -43,12 +56,14 @@
     """One direction of a connection: a buffer to read into, and the messages in it one by one."""
 
     parser_type = None
+    head = fields = None        # what a head is made of, from its first line on and from a later one on
 
     def __init__(self):
         self.buffer = bytearray(FIRST_ROOM)
         self.view = memoryview(self.buffer)
         self.at = self.end = 0      # parsed and read up to here
         self.held = False           # a whole message that is still in use
+        self.interims = 0
         self._begin()
 
     def _begin(self):
@@ -114,33 +129,57 @@
         """The next whole message, or None; the inbox holds it until `release`."""
         if self.held:
             return None
+        while self.headed or self._read_head():
+            if self.pieces is not None:
+                self._read_chunks()
+                if not self.over:
+                    return None
+                self.message.body = b"".join(self.pieces)
+            else:
+                whole = self.body_from + self.length
+                if self.end < whole:
+                    return None
+                self.message.body = self.view[self.body_from:whole]
+                self.at, self.over = whole, True
+            if self.message.status // 100 != 1:
+                self.held, self.interims = True, 0
+                return self.message
+            self.interims += 1  # The real answer follows.
+            if self.interims > INTERIM_MOST or self.message.status == 101:
+                raise Malformed(400, "interim answers without end")
+            self._begin()
+        return None
+
+    def _read_head(self):
+        """Checks what has come of the head; whole, it goes to the parser. Whether it is whole."""
+        buffer = self.buffer
+        while self.at == self.start and buffer.startswith(b"\r\n", self.start, self.end):
+            self.at = self.start = self.start + 2   # Old senders end a body with a line too many.
+        found = buffer.find(b"\r\n\r\n", max(self.start, self.at - 2), self.end)
+        upto = found + 4 if found >= 0 else buffer.rfind(b"\n", self.at, self.end) + 1
+        if upto - self.start > HEAD_MOST or found < 0 and self.end - self.start > HEAD_MOST:
+            raise Malformed(431, "head too large")
+        if upto > self.at:
+            if not (self.head if self.at == self.start else self.fields).fullmatch(buffer, self.at, upto):
+                raise Malformed(400, "no HTTP")
+            self.at = upto
+        elif self.at == self.start < self.end and not self._may_open(bytes(self.view[self.start:self.end])):
+            raise Malformed(400, "no HTTP")
+        if found < 0:
+            return False
+        self._feed(self.view[self.start:upto])
+        if not self.headed:
+            raise Malformed(400, "no HTTP")
+        self._framing()
+        return True
+
+    def _read_chunks(self):
         while self.at < self.end and not self.over:
-            if self.headed and self.pieces is None:
-                break
             # Fed line by line, the parser is never given a byte of what follows the message.
             newline = self.buffer.find(b"\n", self.at, self.end)
             upto = newline + 1 if newline >= 0 else self.end
             self._feed(self.view[self.at:upto])
             self.at = upto
-            if not self.headed and self.at - self.start > HEAD_MOST:
-                raise Malformed(431, "head too large")
-            if self.headed and not self.body_from:
-                self._framing()
-        if self.headed and self.pieces is None and not self.over:
-            whole = self.body_from + self.length
-            if self.end < whole:
-                return None
-            self.message.body = self.view[self.body_from:whole]
-            self.at, self.over = whole, True
-        if self.over:
-            if self.message.status // 100 == 1:
-                self._begin()   # An interim answer; the real one follows.
-                return self.next()
-            if self.pieces is not None:
-                self.message.body = b"".join(self.pieces)
-            self.held = True
-            return self.message
-        return None
 
     def _feed(self, data):
         self.chunked_size += len(data) if self.pieces is not None else 0
@@ -157,15 +196,21 @@
             raise Malformed(413, "body too large")
 
     def _framing(self):
+        """Where the body ends. What can be read in two ways is refused: it may hide another message."""
         message = self.message
         self.body_from = self.at
-        if b"transfer-encoding" in message.fields:
-            if message.fields[b"transfer-encoding"].lower() != b"chunked":
+        coding, length = message.fields.get(b"transfer-encoding"), message.fields.get(b"content-length")
+        if not FRAMING.isdisjoint(message.doubled) or coding is not None and length is not None:
+            raise Malformed(400, "framed twice")
+        if coding is not None:
+            if coding.lower() != b"chunked" or message.version != "1.1":
                 raise Malformed(400, "unknown transfer encoding")
             self.pieces = []
-        elif b"content-length" in message.fields:
-            self.length = int(message.fields[b"content-length"])
-            if self.length > BODY_MOST:
+        elif length is not None:
+            if not length.isdigit():
+                raise Malformed(400, "length is no number")
+            self.length = int(length[:LENGTH_DIGITS])
+            if self.length > BODY_MOST or len(length) > LENGTH_DIGITS:
                 raise Malformed(413, "body too large")
         elif not self._bodiless():
             raise Malformed(400, "an answer whose end cannot be told")
@@ -173,8 +218,11 @@
     # What the parser calls.
 
     def on_header(self, name, value):
-        self.message.headers.append((name, value))
-        self.message.fields[name.lower()] = value
+        message, small = self.message, name.lower()
+        message.headers.append((name, value))
+        if small in message.fields:
+            message.doubled = (*message.doubled, small)
+        message.fields[small] = value
 
     def on_headers_complete(self):
         self.headed = True
@@ -197,6 +245,10 @@
 
 class Requests(Inbox):
     parser_type = httptools.HttpRequestParser
+    head, fields = re.compile(REQUEST_LINE + FIELDS), re.compile(FIELDS)
+
+    def _may_open(self, first):
+        return first[:1].isalpha()
 
     def on_url(self, url):
         self.message.url += url
@@ -210,6 +262,10 @@
 
 class Answers(Inbox):
     parser_type = httptools.HttpResponseParser
+    head, fields = re.compile(STATUS_LINE + FIELDS), re.compile(FIELDS)
+
+    def _may_open(self, first):
+        return first[:7] == b"HTTP/1."[:len(first)]
 
     def _headed(self):
         self.message.status = self.parser.get_status_code()
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -6,7 +6,7 @@
 looked into here.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from heapq import heappop, heappush
 
 from pierglade import records as r
@@ -14,44 +14,54 @@
 from pierglade.net import http
 
 # Events.
-(OPENED, BEGUN, ASKED, FAULTY, ANSWERED, CLIENT_ENDED, UP, REPLIED, LINK_ENDED, HEARD, NO_WORD, CONFIGURED,
- STOP, WOKE) = (
-    "opened", "begun", "asked", "faulty", "answered", "client ended", "up", "replied", "link ended", "heard",
-    "no word", "configured", "stop", "woke")
+(OPENED, BEGUN, ASKED, FAULTY, ANSWERED, CLIENT_ENDED, UP, REPLYING, REPLIED, LINK_ENDED, HEARD, NO_WORD,
+ CONFIGURED, STOP, WOKE) = (
+    "opened", "begun", "asked", "faulty", "answered", "client ended", "up", "replying", "replied",
+    "link ended", "heard", "no word", "configured", "stop", "woke")
 # Effects.
 ANSWER, LET_GO, END_CLIENT, CONNECT, WRITE, END_LINK, RELIST, MOVE, CLOSE_DOOR, EXIT, NOTE = (
     "answer", "let go", "end client", "connect", "write", "end link", "relist", "move", "close door", "exit",
     "note")
 
 # Constants. Times are tenths of a millisecond.
+NEVER = 1 << 62         # a moment that does not come
 MARGIN = 200            # 20 ms; a trip times out this much ahead of the limit, so a late loop still answers
 GRACE_MARGIN = 1000     # 100 ms; no trip starts this close to the end of a backend's grace
 GRACE_PART = 0.5        # share of the grace that is used even where that margin is longer than it
 IDLE_PART = 0.6         # share of the idle limit after which we close first, so that no trip meets its end
 PROBE_FOR = 2000        # 200 ms; a process that runs says so at once
-SLOW_SENDER = 50000     # 5 s; to send a message whole
+REPLY_WHOLE = 1000      # 100 ms; from an answer's first bytes to its last; a spoilt one may never end
+FIRST_ASK = 20000       # 2 s; from connecting to the first request's last byte, however it trickles in
+SLOW_SENDER = 20000     # 2 s; to send a later one whole
 SLOW_READER = 50000     # 5 s; to take an answer
-CLIENT_IDLE = 600000    # 60 s; a client's connection may stand idle for so long
+CLIENT_IDLE = 25000     # 2.5 s; some clients ask once and stay, and would take the descriptors from the links
 YIELD_AFTER = 1000      # 100 ms; idle for less, a connection is likely to be used the next moment
+YIELD_FRESH = 200       # 20 ms; who opens a connection in earnest asks at once
 LINGER = 10000          # 1 s; for a client to close after its last answer
 DOOR_OPEN = 7000        # 0.7 s; new connections are taken so long after the stop: the front needs 0.4 s
 LAST_CALL = 500         # 50 ms; for what was accepted last to be read
 OWED_MOST = 31000       # 3.1 s; after a stop all is answered by then, as the end may come at 3.7 s
 SPARE = 16              # descriptors beside connections: discovery's, and those that close on the next turn
-FORGET = 600000         # 60 s; a gone backend is forgotten after this, beyond any hard limit
+FORGET = 2              # times the longest hard limit; then nothing out can concern a gone backend
+SPENT_FOR = 20000       # 2 s; an id is not taken again so soon after its answer: a copy may just be coming in
+ID_MOST = 256           # bytes of an id; ids are kept while their invocation is open
 FIRST_WORD = 3000       # 0.3 s; with the list it was started with, a node waits so long for a newer one
 
 READY_PATH, LIVE_PATH = b"/health/ready", b"/health/live"
 STATES = {"SERVING": r.READY, "DRAINING": r.DRAINING, "DELETED": r.GONE}
 METHODS = {r.HARMLESS: b"GET", r.STAMPED: b"POST", r.ONE_SHOT: b"POST"}
 REPLACED = (b"x-expires-in-ms",)                # headers of a request that are written anew
+# Headers that a request has once: of two, the next to read it may heed the other.
+SINGLE = frozenset((b"host", b"x-trace-id", b"x-customer", b"x-expires-in-ms", b"x-second-try",
+                    b"idempotency-key"))
 KEPT_BACK = (b"endpoint-load-metrics",)         # headers of an answer that are for the node
 
 # What of a configuration is read at the start only.
 FIXED = ("name", "listen", "limits", "settings")
 
 # What a client's connection is doing.
-IDLE, READING, OWED, WRITING, LINGERING, ENDED = "idle", "reading", "owed", "writing", "lingering", "ended"
+FRESH, IDLE, READING, OWED, WRITING, LINGERING, ENDED = (
+    "fresh", "idle", "reading", "owed", "writing", "lingering", "ended")
 # What a link is doing, beside IDLE and ENDED.
 CONNECTING, BUSY = "connecting", "busy"
 
@@ -62,15 +72,15 @@
 class Client:
     """A client's connection, and the invocation that it is owed an answer for."""
 
-    __slots__ = ("io", "state", "since", "due", "queued", "message", "invocation", "last", "crowded",
+    __slots__ = ("io", "state", "since", "due", "queued", "message", "invocation", "id", "last", "crowded",
                  "yields")
 
     def __init__(self, io):
         self.io = io
-        self.state = IDLE
-        self.since = 0          # when it became idle
+        self.state = FRESH      # it has brought nothing yet
+        self.since = 0          # when it was opened or became idle
         self.due = self.queued = None
-        self.message = self.invocation = None
+        self.message = self.invocation = self.id = None
         self.last = False       # it ends with its next answer
         self.crowded = False    # it came when the sockets were used up
         self.yields = False     # it was asked to make room, and ends unless something of it is unread
@@ -79,28 +89,30 @@
 class Link:
     """A connection to a backend, and the trip or probe on it."""
 
-    __slots__ = ("io", "name", "address", "state", "due", "queued", "trip", "probing", "since")
+    __slots__ = ("io", "backend", "address", "state", "due", "queued", "trip", "probing", "replying", "since")
 
-    def __init__(self, name, address):
+    def __init__(self, backend):
         self.io = None
-        self.name, self.address = name, address
+        self.backend, self.address = backend, backend.address
         self.state = CONNECTING
         self.due = self.queued = None
         self.trip = None
         self.probing = False
+        self.replying = 0       # by when the answer that has begun is to be whole; 0: none has
         self.since = 0
 
 
 class Backend:
     """Where a backend is reached, and what is open to it."""
 
-    __slots__ = ("address", "started", "state", "told", "idle", "probed_on")
+    __slots__ = ("name", "address", "started", "state", "told", "idle", "links", "probed_on")
 
-    def __init__(self, address, started):
-        self.address, self.started = address, started
+    def __init__(self, name, address, started):
+        self.name, self.address, self.started = name, address, started
         self.state = None       # as the list says
         self.told = None        # since when it drains or is gone
         self.idle = []          # the last one used is used next, so that the rest grow old and are closed
+        self.links = 0          # open ones, the idle included
         self.probed_on = None   # the link of a probe that has no result yet
 
 
@@ -111,8 +123,13 @@
         self.offerings = {o.name.encode(): o for o in terms.offerings}
         self.members = {m.name.encode(): m for m in terms.members}
         self.sockets = sockets - SPARE
-        self.clients = OrderedDict()    # by last use
-        self.links = OrderedDict()
+        # By what they are doing, in the order in which they came to it: who is to yield is the first of one.
+        self.clients = {state: OrderedDict() for state in (FRESH, IDLE, READING, OWED, WRITING, LINGERING)}
+        self.links = {state: OrderedDict() for state in (CONNECTING, IDLE, BUSY)}
+        self.open = 0                   # connections, of both kinds
+        self.ids = {}                   # of open invocations and of those just answered, to their client
+        self.spent = deque()            # (until when it is kept, id) of the latter
+        self.forget = FORGET * max(o.hard_limit for o in terms.offerings)
         self.yielding = 0               # clients that were asked to make room
         self.carried = {}               # trip to its link
         self.backends = {}
@@ -126,8 +143,9 @@
         self.now, self.effects = now, []
         self.handlers = {
             OPENED: self._opened, BEGUN: self._begun, ASKED: self._asked, FAULTY: self._faulty,
-            ANSWERED: self._answered, CLIENT_ENDED: self._client_ended, UP: self._up, REPLIED: self._replied,
-            LINK_ENDED: self._link_ended, HEARD: self._heard, NO_WORD: self._no_word,
+            ANSWERED: self._answered, CLIENT_ENDED: self._client_ended, UP: self._up,
+            REPLYING: self._replying, REPLIED: self._replied, LINK_ENDED: self._link_ended,
+            HEARD: self._heard, NO_WORD: self._no_word,
             CONFIGURED: self._configured, STOP: self._stop, WOKE: self._woke}
 
     def apply(self, now, kind, *what):
@@ -135,7 +153,7 @@
         self.handlers[kind](*what)
         self._look_after_due()
         self._pull()
-        if self.leaving and not self.clients and not self.exiting:
+        if self.leaving and not self.exiting and not any(self.clients.values()):
             self.exiting = True
             self._do(EXIT)
         return self.effects
@@ -158,19 +176,27 @@
         self.count += 1
         heappush(self.due, (moment, self.count, call, subject))
 
-    def _connection_due(self, connection, after, call):
+    def _connection_due(self, connection, moment, call):
         """A connection has one thing due at a time; a later one takes its place."""
-        connection.due = (self.now + after, call)
+        connection.due = (moment, call)
         self._queue(connection)
 
+    def _is(self, connection, state, all_of):
+        all_of[connection.state].pop(connection, None)
+        connection.state = state
+        all_of[state][connection] = None
+
     def _queue(self, connection):
         # Seldom more than one entry each: with one for every answer the heap would hold a minute's worth.
         moment = connection.due[0]
         if connection.queued is None or moment < connection.queued:
             connection.queued = moment
-            self._at(moment, self._connection_is_due, connection)
+            self._at(moment, self._connection_is_due, (connection, moment))
 
-    def _connection_is_due(self, connection):
+    def _connection_is_due(self, queued):
+        connection, moment = queued
+        if connection.queued != moment:
+            return      # An earlier one has taken its place; followed up, both would live on for ever.
         connection.queued = None
         if connection.due is None or connection.state is ENDED:
             return
@@ -191,24 +217,29 @@
 
     def _opened(self, io):
         client = io.client = Client(io)
-        self.clients[client] = None
-        self._rest(client)
+        self.open += 1
+        self._is(client, FRESH, self.clients)
+        client.since = self.now
+        self._connection_due(client, self.now + FIRST_ASK, self._idle_too_long)
         if not self._make_room(client):
             # Nothing idle is left to yield: whoever came last is told to come back.
             client.last = client.crowded = True
 
     def _rest(self, client):
-        client.state, client.since = IDLE, self.now
-        self._connection_due(client, CLIENT_IDLE, self._idle_too_long)
+        self._is(client, IDLE, self.clients)
+        client.since = self.now
+        self._connection_due(client, self.now + CLIENT_IDLE, self._idle_too_long)
 
     def _idle_too_long(self, client):
-        self._do(LET_GO, client, "idle")
+        self._do(LET_GO, client, "silent" if client.state is FRESH else "idle")
 
     def _begun(self, client):
         """The first bytes of a message have come."""
-        if client.state is IDLE:
-            client.state = READING
-            self._connection_due(client, SLOW_SENDER, self._sends_too_slowly)
+        if client.state in (FRESH, IDLE):
+            # The first message has until then from the connecting on, or silence and a trickle would add up.
+            until = client.since + FIRST_ASK if client.state is FRESH else self.now + SLOW_SENDER
+            self._is(client, READING, self.clients)
+            self._connection_due(client, until, self._sends_too_slowly)
             self._stays(client)
 
     def _sends_too_slowly(self, client):
@@ -216,14 +247,13 @@
 
     def _faulty(self, client, status):
         """What came is no message that we take."""
-        if client.state in (IDLE, READING):
+        if client.state in (FRESH, IDLE, READING):
             self._refuse(client, status, last=True)
         client.last = True
 
     def _asked(self, client, message):
-        if client.state not in (IDLE, READING):
+        if client.state not in (FRESH, IDLE, READING):
             return
-        self.clients.move_to_end(client)
         self._stays(client)
         client.message = message
         if not message.keep:
@@ -242,29 +272,46 @@
         if message.method != METHODS[offering.repeats]:
             return self._refuse(client, 405, allow=METHODS[offering.repeats])
         fields = message.fields
+        name = fields.get(b"x-trace-id")
         left = fields.get(b"x-expires-in-ms", b"%d" % (offering.hard_limit // 10))
-        if (not fields.get(b"x-trace-id") or not left.isdigit() or len(left) > 9
+        if (not name or len(name) > ID_MOST or not left.isdigit() or len(left) > 9
+                or message.doubled and not SINGLE.isdisjoint(message.doubled)
                 or message.version == "1.1" and b"host" not in fields
                 or (b"idempotency-key" in fields) != (offering.repeats == r.STAMPED)
                 or offering.repeats == r.HARMLESS and len(message.body)):
             return self._refuse(client, 400, last=True)
+        if self._is_known(name):
+            # Another's, or one that ran already: passed on, it would run twice.
+            return self._refuse(client, 400, last=True)
         if client.crowded:
             return self._answer(client, 503)    # Nothing was sent for it.
         limit = self.now + min(int(left) * 10, offering.hard_limit)
         member = self.members.get(fields.get(b"x-customer"))
         repeat = fields.get(b"x-second-try") == b"1"
         invocation = r.Invocation(client, offering, member, self.now, limit, repeat)
-        client.state, client.due = OWED, None
-        client.invocation = invocation
-        self._at(max(limit - MARGIN // 2, self.now + 1), self._overdue, invocation)
+        self._is(client, OWED, self.clients)
+        client.invocation, client.id = invocation, name
+        self.ids[name] = client
+        self._connection_due(client, max(limit - MARGIN // 2, self.now + 1), self._overdue)
         self.node.taken(self.now, invocation)
 
-    def _overdue(self, invocation):
+    def _is_known(self, name):
+        while self.spent and self.spent[0][0] <= self.now:
+            self.ids.pop(self.spent.popleft()[1], None)
+        return name in self.ids
+
+    def _closed(self, client):
+        """Its invocation is answered or abandoned."""
+        client.invocation = client.message = None
+        if client.id is not None:
+            self.spent.append((self.now + SPENT_FOR, client.id))
+            self.ids[client.id] = client.id = None
+
+    def _overdue(self, client):
         """Guards against a fault of ours: whatever went wrong, the answer is out before the limit."""
-        if invocation.mark.invocation is invocation:
-            self._note("overdue")
-            self.node.abandoned(self.now, invocation)
-            self._final(invocation, r.GIVE_UP)
+        self._note("overdue")
+        self.node.abandoned(self.now, client.invocation)
+        self._final(client.invocation, r.GIVE_UP)
 
     def _refuse(self, client, status, last=False, allow=None):
         client.last = client.last or last
@@ -275,8 +322,9 @@
         head = http.answer_head(status, headers, len(body), close)
         if client.message is not None and client.message.method == b"HEAD":
             body = b""
-        client.state, client.message, client.invocation = WRITING, None, None
-        self._connection_due(client, SLOW_READER, self._reads_too_slowly)
+        self._is(client, WRITING, self.clients)
+        self._closed(client)
+        self._connection_due(client, self.now + SLOW_READER, self._reads_too_slowly)
         self._do(ANSWER, client, head, body)
 
     def _reads_too_slowly(self, client):
@@ -286,10 +334,9 @@
         """The answer's last byte is written."""
         if client.state is not WRITING:
             return
-        self.clients.move_to_end(client)
         if client.last:
-            client.state = LINGERING
-            self._connection_due(client, LINGER, self._lingered)
+            self._is(client, LINGERING, self.clients)
+            self._connection_due(client, self.now + LINGER, self._lingered)
         else:
             self._rest(client)
 
@@ -305,39 +352,51 @@
         self._end_client(client, "answered last" if client.state is LINGERING else reason)
 
     def _end_client(self, client, reason):
-        del self.clients[client]
+        del self.clients[client.state][client]
+        self.open -= 1
         self._stays(client)
         self._note("client ended", reason=reason, state=client.state)
-        client.state, client.invocation, client.message = ENDED, None, None
+        client.state = ENDED
+        self._closed(client)
         self._do(END_CLIENT, client)
 
     # Room for sockets.
 
     def _make_room(self, newcomer):
-        """Idle connections yield to the newcomer, the longest idle first. Whether there is room."""
-        while len(self.clients) - self.yielding + len(self.links) > self.sockets:
-            link = next((link for link in self.links if link.state is IDLE), None)
-            if link is not None:
+        """What is least needed yields to the newcomer. Whether there is room."""
+        while self.open - self.yielding > self.sockets:
+            # Those that were answered for good; those that were opened and say nothing, who may be hundreds.
+            if (client := self._first(LINGERING, newcomer)) is not None:
+                self._end_client(client, "yielded")
+            elif (client := self._first(FRESH, newcomer, YIELD_FRESH)) is not None:
+                self._let_yield(client)
+            elif (link := next(iter(self.links[IDLE]), None)) is not None:
                 self._end_link(link, "yielded")
-                continue
-            client = next((c for c in self.clients if c is not newcomer and self._may_yield(c)), None)
-            if client is None:
+            elif (client := self._first(IDLE, newcomer, YIELD_AFTER)) is not None:
+                self._let_yield(client)
+            else:
                 # Slow senders must not keep the others out: the first of them is told to come back.
-                slow = next((c for c in self.clients if c.state is READING), None)
+                slow = next(iter(self.clients[READING]), None)
                 if slow is not None:
                     self._refuse(slow, 503, last=True)
                 return False
-            # Not ended outright: a request that the kernel holds for it is taken, and would be lost.
-            client.yields, self.yielding = True, self.yielding + 1
-            self._do(LET_GO, client, "yielded")
-        return len(self.clients) + len(self.links) <= self.sockets + SPARE // 2
-
-    def _may_yield(self, client):
-        if client.yields or client.state not in (IDLE, LINGERING):
-            return False
-        # One that was just opened or answered may bring a request as it is let go, and that would be lost.
-        crammed = len(self.clients) + len(self.links) > self.sockets + SPARE // 2
-        return client.state is LINGERING or crammed or self.now - client.since >= YIELD_AFTER
+        return self.open <= self.sockets + SPARE // 2
+
+    def _first(self, state, newcomer, after=0):
+        """Who has been in this state for longest and may yield."""
+        if self.open > self.sockets + SPARE // 2:
+            # One that was just opened or answered may bring a request as it is let go, and that would be
+            # lost: it stays for a while, unless the descriptors beyond the budget are in use as well.
+            after = 0
+        for client in self.clients[state]:
+            if client is not newcomer and not client.yields:
+                return client if self.now - client.since >= after else None
+        return None
+
+    def _let_yield(self, client):
+        # Not ended outright: a request that the kernel holds for it is taken, and would be lost.
+        client.yields, self.yielding = True, self.yielding + 1
+        self._do(LET_GO, client, "yielded")
 
     def _stays(self, client):
         """Asked to make room, it had something unread: it is served, and let go with its answer."""
@@ -352,8 +411,6 @@
         while (decision := node.decide(now)) is not None:
             kind, subject = decision
             if kind is r.SEND:
-                # Times out ahead of the client's limit.
-                self._at(subject.until - MARGIN, self._time_out, subject)
                 self._carry(subject)
             elif kind is r.CALL_OFF:
                 if subject.outcome is None:
@@ -385,11 +442,6 @@
             link.trip = None
             self._end_link(link, reason)
 
-    def _time_out(self, trip):
-        if trip.outcome is None:
-            self._drop(trip, "timed out")
-            self._return(trip, r.TIMED_OUT)
-
     def _carry(self, trip):
         """A trip goes out on a kept link, or on a new one."""
         backend = self.backends.get(self.node.names[trip.backend])
@@ -397,29 +449,52 @@
             return self._return(trip, r.TURNED_AWAY)
         if backend.idle:
             link = backend.idle.pop()
-            self.links.move_to_end(link)
+            self._is(link, BUSY, self.links)
             self.carried[trip], link.trip = link, trip
-            link.state, link.due = BUSY, None
+            self._watch(link)
             self._write(link)
             return
-        link = self._open(self.node.names[trip.backend], backend)
+        link = self._open(backend)
         if link is None:
             return self._return(trip, r.NEVER_SENT)
         self.carried[trip], link.trip = link, trip
+        self._watch(link)
 
-    def _open(self, name, backend):
-        link = Link(name, backend.address)
-        self.links[link] = None
-        link.since = self.now
+    def _open(self, backend):
+        link = Link(backend)
+        self.open += 1
         if not self._make_room(None):
-            del self.links[link]
+            self.open -= 1
             return None
-        self._connection_due(link, self.terms.connect_within, self._connects_too_slowly)
+        backend.links += 1
+        self._is(link, CONNECTING, self.links)
+        link.since = self.now
+        self._watch(link)
         self._do(CONNECT, link)
         return link
 
-    def _connects_too_slowly(self, link):
-        self._link_ended(link, REFUSED, False, "connect time-out")
+    def _watch(self, link):
+        """Sees to it that what the link waits for comes in time."""
+        moment = link.replying or NEVER
+        if link.state is CONNECTING:
+            moment = link.since + self.terms.connect_within
+        if link.trip is not None:
+            # Times out ahead of the client's limit.
+            moment = min(moment, link.trip.until - MARGIN)
+        elif link.probing:
+            moment = min(moment, link.since + PROBE_FOR)
+        self._connection_due(link, moment, self._is_late)
+
+    def _is_late(self, link):
+        trip = link.trip
+        if link.state is CONNECTING:
+            self._link_ended(link, REFUSED, False, "connect time-out")
+        elif trip is not None and self.now >= trip.until - MARGIN:
+            self._drop(trip, "timed out")
+            self._return(trip, r.TIMED_OUT)
+        else:
+            self._link_ended(link, *(GARBLED, True, "endless answer") if link.replying else
+                             (REFUSED, False, "probe time-out"))
 
     def _past_grace(self, backend):
         grace = self.terms.drain_grace
@@ -430,11 +505,12 @@
         """The connection has come up."""
         if link.state is not CONNECTING:
             return
-        link.state, link.due = BUSY, None
+        self._is(link, BUSY, self.links)
+        self._watch(link)
         if link.probing:
             head = http.request_head(b"GET", LIVE_PATH, [(b"Host", link.address.encode())], 0)
             self._do(WRITE, link, head, b"")
-        elif self._past_grace(self.backends[link.name]):
+        elif self._past_grace(link.backend):
             trip, link.trip = link.trip, None
             self._end_link(link, "past grace")
             self._return(trip, r.TURNED_AWAY)
@@ -450,8 +526,15 @@
         head = http.request_head(message.method, http.target(message.url), headers, len(message.body))
         self._do(WRITE, link, head, message.body)
 
+    def _replying(self, link):
+        """The first bytes of an answer have come, and not the last."""
+        if link.state is BUSY:
+            link.replying = self.now + REPLY_WHOLE
+            self._watch(link)
+
     def _replied(self, link, message):
         """A whole answer has come on the link."""
+        link.replying = 0
         if link.state is IDLE:
             # Nobody asked: kept, the link would give the next trip an answer that is not its own.
             return self._end_link(link, "unasked answer")
@@ -467,23 +550,23 @@
                 self._return(trip, r.SETTLED, done=True)
                 if awaited:
                     self._note(r.SETTLED, offering=invocation.offering.name, trips=len(invocation.trips),
-                               ms=(self.now - invocation.arrived) / 10, backend=link.name)
+                               ms=(self.now - invocation.arrived) / 10, backend=link.backend.name)
                     headers = http.passed_on(message.headers, KEPT_BACK)
                     self._answer(invocation.mark, 200, headers, message.body)
             else:
                 never_ran = message.status in (503, 504) and message.fields.get(b"x-never-ran") == b"1"
-                self._note("trip lost", backend=link.name, status=message.status, never_ran=never_ran)
+                self._note("trip lost", backend=link.backend.name, status=message.status, never_ran=never_ran)
                 self._return(trip, r.TURNED_AWAY if never_ran else r.ERROR)
-        backend = self.backends[link.name]
+        backend = link.backend
         if not message.keep:
             self._end_link(link, "closed by its answer")
         elif backend.told is not None or backend.address != link.address:
             self._end_link(link, "drained")
         else:
-            link.state = IDLE
+            self._is(link, IDLE, self.links)
             backend.idle.append(link)
-            self.links.move_to_end(link)
-            self._connection_due(link, int(IDLE_PART * self.terms.idle_for), self._link_idle_too_long)
+            self._connection_due(link, self.now + int(IDLE_PART * self.terms.idle_for),
+                                 self._link_idle_too_long)
 
     def _link_idle_too_long(self, link):
         self._end_link(link, "idle")
@@ -502,17 +585,19 @@
             # A kept connection was found closed before a byte was written: the trip has not begun.
             return self._carry(trip)
         outcome = r.ERROR if how is GARBLED else r.BROKEN if whole else r.UNREACHABLE
-        self._note("trip lost", backend=link.name, reason=reason, outcome=outcome)
+        self._note("trip lost", backend=link.backend.name, reason=reason, outcome=outcome)
         self._return(trip, outcome)
 
     def _end_link(self, link, reason):
-        del self.links[link]
-        backend = self.backends[link.name]
+        del self.links[link.state][link]
+        backend = link.backend
+        self.open -= 1
+        backend.links -= 1
         if link.state is IDLE:
             backend.idle.remove(link)
         if backend.probed_on is link:
             backend.probed_on = None
-        self._note("backend link ended", reason=reason, backend=link.name, state=link.state)
+        self._note("backend link ended", reason=reason, backend=link.backend.name, state=link.state)
         link.state = ENDED
         self._do(END_LINK, link)
 
@@ -522,19 +607,15 @@
         backend = self.backends.get(name)
         if backend is None or backend.probed_on is not None:
             return      # One at a time: a silent backend must not fill up with probes.
-        link = self._open(name, backend)
+        link = self._open(backend)
         if link is None:
             return self.node.probed(self.now, name, False, 0)
         link.probing, backend.probed_on = True, link
-        self._at(self.now + PROBE_FOR, self._probe_is_late, link)
-
-    def _probe_is_late(self, link):
-        if link.probing:
-            self._link_ended(link, REFUSED, False, "probe time-out")
+        self._watch(link)
 
     def _probed(self, link, good):
-        link.probing, self.backends[link.name].probed_on = False, None
-        self.node.probed(self.now, link.name, good, self.now - link.since)
+        link.probing, link.backend.probed_on = False, None
+        self.node.probed(self.now, link.backend.name, good, self.now - link.since)
 
     # The list.
 
@@ -590,7 +671,8 @@
         for entry, address in entries:
             backend = self.backends.get(entry.name)
             if backend is None:
-                backend = self.backends[entry.name] = Backend(address, entry.started)
+                backend = self.backends[entry.name] = Backend(
+                    entry.name, address, entry.started)
                 changed.append((entry.name, entry.state))
             elif address is not None and (address != backend.address or entry.started > backend.started):
                 # The process behind the name is another one: what is kept to the old one is of no use.
@@ -609,9 +691,8 @@
 
     def _forget_gone(self):
         """Fleets that start under new names must not fill the memory with old ones."""
-        in_use = {link.name for link in self.links}
         for name, backend in list(self.backends.items()):
-            if backend.state == r.GONE and self.now - backend.told > FORGET and name not in in_use:
+            if backend.state == r.GONE and self.now - backend.told > self.forget and not backend.links:
                 del self.backends[name]
 
     def _told(self, name, backend, state, changed):
@@ -636,15 +717,14 @@
         if self.stopped is not None:
             return
         self.stopped = self.now
-        self._note("stopping", owed=sum(c.invocation is not None for c in self.clients))
+        self._note("stopping", owed=len(self.clients[OWED]))
         self._end_idle_clients()
         self._at(self.now + DOOR_OPEN, self._close_door, None)
         self._at(self.now + OWED_MOST, self._answer_all, None)
 
     def _end_idle_clients(self):
-        for client in self.clients:
-            if client.state is IDLE:
-                self._do(LET_GO, client, "stopping")
+        for client in (*self.clients[FRESH], *self.clients[IDLE]):
+            self._do(LET_GO, client, "stopping")
 
     def _close_door(self, _):
         self._do(CLOSE_DOOR)
@@ -657,7 +737,7 @@
 
     def _answer_all(self, _):
         """The process may be ended soon: what is still owed is given up on."""
-        for client in list(self.clients):
+        for client in [client for some in self.clients.values() for client in some]:
             if client.invocation is not None:
                 invocation = client.invocation
                 self.node.abandoned(self.now, invocation)
@@ -673,7 +753,7 @@
             if trip is not None:
                 self.carried.pop(trip, None)
                 subject = trip.invocation.mark
-        if isinstance(subject, Client) and subject.state in (IDLE, READING, OWED):
+        if isinstance(subject, Client) and subject.state in (FRESH, IDLE, READING, OWED):
             if subject.invocation is not None:
                 subject.invocation.over = True
                 for trip in subject.invocation.trips:
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -130,7 +130,7 @@
 
     def __init__(self, backends=("b0", "b1"), sockets=200, known=None, **changed):
         self.now = 10000 * MS
-        self.lines, self.clients, self.links = [], {}, []
+        self.lines, self.clients, self.links, self.asked = [], {}, [], 0
         self.reducer = rd.Reducer(4, terms(**changed), self.now, sockets)
         self.reducer.known(known)
         if backends:
@@ -153,7 +153,7 @@
             if effect is rd.CONNECT:
                 subject.io = Wire(f"link {len(self.links)}")
                 self.links.append(subject)
-                rest = [subject.name]
+                rest = [subject.backend.name]
             texts = [p if isinstance(p, str) else bytes(p).decode().replace("\r\n", "|") for p in rest]
             self.say(" ".join([effect, *([subject.io.name] if subject else []), *texts]).rstrip())
 
@@ -170,13 +170,15 @@
         self.tell(rd.OPENED, wire)
         self.clients[name] = wire.client
 
-    def ask(self, name, path="/look", method=None, left=1000, headers="", body=""):
+    def ask(self, name, path="/look", method=None, left=1000, headers="", body="", trace=None):
         if name not in self.clients:
             self.open(name)
         method = method or ("GET" if path == "/look" else "POST")
         headers += "Idempotency-Key: k\r\n" if path == "/hold" else ""
         headers += f"Content-Length: {len(body)}\r\n" if body else ""
-        head = f"{method} {path} HTTP/1.1\r\nHost: h\r\nX-Trace-Id: {name}\r\nX-Expires-In-Ms: {left}\r\n"
+        self.asked += 1
+        head = f"{method} {path} HTTP/1.1\r\nHost: h\r\nX-Trace-Id: {trace or self.asked}\r\n"
+        head += f"X-Expires-In-Ms: {left}\r\n"
         self.tell(rd.ASKED, self.clients[name], message((head + headers + "\r\n" + body).encode()))
 
     def up(self, link=-1):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -323,13 +323,13 @@
         self.check("net_configured", lines)
 
     def test_serves_and_stops(self):
-        traced = HOST + b"X-Trace-Id: t\r\nX-Expires-In-Ms: 900\r\n"
-        get = b"GET /look/%s HTTP/1.1\r\n" + traced + b"\r\n"
-        post = b"POST /pay%s HTTP/1.1\r\n" + traced + b"Content-Length: 4\r\n\r\nfive"
-        lines = self.ask(get % b"1", post % b"", get % b"large", post % b"/2")
-        lines += self.ask(b"nonsense\r\n\r\n", get % b"unread")
+        get = b"GET /look/%s HTTP/1.1\r\n%sX-Trace-Id: %s\r\n\r\n"
+        post = b"POST /pay%s HTTP/1.1\r\n%sX-Trace-Id: %s\r\nContent-Length: 4\r\n\r\nfive"
+        lines = self.ask(get % (b"1", HOST, b"a"), post % (b"", HOST, b"b"), get % (b"large", HOST, b"c"),
+                         post % (b"/2", HOST, b"d"))
+        lines += self.ask(b"nonsense\r\n\r\n" + get % (b"unread", HOST, b"e"))
         lines += self.ask(*(b"GET %s HTTP/1.1\r\n%s\r\n" % (path, HOST) for path in (b"/health/ready", b"/")))
-        lines += self.ask(post % b"/break")
+        lines += self.ask(post % (b"/break", HOST, b"f"))
         lines += [f"backend saw {' '.join(self.backend.seen)}"]
         self.node.send_signal(signal.SIGTERM)
         lines += [f"exit {self.node.wait(20)}"]
