--- a/pierglade/net/http.py
+++ b/pierglade/net/http.py
@@ -44,7 +44,7 @@
     def __init__(self):
         self.method = self.url = b""
         self.status = 0
-        self.headers = []   # (name, value) as they came
+        self.headers = []   # (name, value, name in small letters) as they came
         self.fields = {}    # the last value by name in small letters
         self.doubled = ()   # the names in small letters that came more than once
         self.body = b""
@@ -219,7 +219,7 @@
 
     def on_header(self, name, value):
         message, small = self.message, name.lower()
-        message.headers.append((name, value))
+        message.headers.append((name, value, small))
         if small in message.fields:
             message.doubled = (*message.doubled, small)
         message.fields[small] = value
@@ -287,11 +287,12 @@
     return (parsed.path or b"/") + (b"?" + parsed.query if parsed.query else b"")
 
 
-def passed_on(headers, but=()):
+def passed_on(message, left_out):
     """The headers that a proxy passes on: all but those of the one connection, and those replaced."""
-    named = b",".join(value for name, value in headers if name.lower() == b"connection")
-    left_out = {*HOP_BY_HOP, *but, *(token.strip().lower() for token in named.split(b","))}
-    return [(name, value) for name, value in headers if name.lower() not in left_out]
+    if b"connection" in message.fields:
+        named = b",".join(value for _, value, small in message.headers if small == b"connection")
+        left_out = left_out.union(token.strip().lower() for token in named.split(b","))
+    return [(name, value) for name, value, small in message.headers if small not in left_out]
 
 
 def request_head(method, path, headers, length):
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -50,11 +50,11 @@
 READY_PATH, LIVE_PATH = b"/health/ready", b"/health/live"
 STATES = {"SERVING": r.READY, "DRAINING": r.DRAINING, "DELETED": r.GONE}
 METHODS = {r.HARMLESS: b"GET", r.STAMPED: b"POST", r.ONE_SHOT: b"POST"}
-REPLACED = (b"x-expires-in-ms",)                # headers of a request that are written anew
+REPLACED = http.HOP_BY_HOP | {b"x-expires-in-ms"}           # headers of a request that are written anew
 # Headers that a request has once: of two, the next to read it may heed the other.
 SINGLE = frozenset((b"host", b"x-trace-id", b"x-customer", b"x-expires-in-ms", b"x-second-try",
                     b"idempotency-key"))
-KEPT_BACK = (b"endpoint-load-metrics",)         # headers of an answer that are for the node
+KEPT_BACK = http.HOP_BY_HOP | {b"endpoint-load-metrics"}    # headers of an answer that are for the node
 
 # What of a configuration is read at the start only.
 FIXED = ("name", "listen", "limits", "settings")
@@ -424,7 +424,8 @@
     def _final(self, invocation, kind):
         self._note(kind, offering=invocation.offering.name, trips=len(invocation.trips),
                    ms=(self.now - invocation.arrived) / 10,
-                   of_ms=(invocation.limit - invocation.arrived) / 10, ends=[t.outcome for t in invocation.trips])
+                   of_ms=(invocation.limit - invocation.arrived) / 10,
+                   ends=[t.outcome for t in invocation.trips])
         if kind is r.BOUNCE:
             wait = self.node.come_back_in(self.now)
             self._answer(invocation.mark, 503, [(b"Retry-After", b"%g" % (wait / 10000))] if wait else [])
@@ -520,7 +521,7 @@
     def _write(self, link):
         trip = link.trip
         message = trip.invocation.mark.message
-        headers = http.passed_on(message.headers, REPLACED)
+        headers = http.passed_on(message, REPLACED)
         left = max(1, (trip.until - MARGIN - self.now) // 10)
         headers.append((b"X-Expires-In-Ms", b"%d" % left))
         head = http.request_head(message.method, http.target(message.url), headers, len(message.body))
@@ -551,7 +552,7 @@
                 if awaited:
                     self._note(r.SETTLED, offering=invocation.offering.name, trips=len(invocation.trips),
                                ms=(self.now - invocation.arrived) / 10, backend=link.backend.name)
-                    headers = http.passed_on(message.headers, KEPT_BACK)
+                    headers = http.passed_on(message, KEPT_BACK)
                     self._answer(invocation.mark, 200, headers, message.body)
             else:
                 never_ran = message.status in (503, 504) and message.fields.get(b"x-never-ran") == b"1"
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -21,7 +21,7 @@
 from pierglade.net.clients import ClientSocket
 from pierglade.net.clock import Timer
 from pierglade.net.log import Log
-from tests.scene import TraceTest, entry
+from tests.scene import TraceTest, entry, message
 
 HOST = b"Host: h\r\n"
 TIMES = {"expectedTimeUs": 400000, "hardLimitUs": 1000000}
@@ -106,9 +106,10 @@
         self.assertEqual(inbox.next().url, b"/b")
 
     def test_what_is_passed_on(self):
-        headers = [(b"Host", b"h"), (b"Connection", b"close, x-once"), (b"X-Once", b"1"), (b"x-kept", b"2"),
-                   (b"Keep-Alive", b"3"), (b"Connection", b"X-TWICE"), (b"X-Twice", b"4"), (b"X-But", b"5")]
-        self.assertEqual(http.passed_on(headers, (b"x-but",)), [(b"Host", b"h"), (b"x-kept", b"2")])
+        taken = message(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close, x-once\r\nX-Once: 1\r\nx-kept: 2\r\n"
+                        b"Keep-Alive: 3\r\nConnection: X-TWICE\r\nX-Twice: 4\r\nX-But: 5\r\n\r\n")
+        self.assertEqual(http.passed_on(taken, http.HOP_BY_HOP | {b"x-but"}),
+                         [(b"Host", b"h"), (b"x-kept", b"2")])
 
     def test_watch(self):
         watch, lines = discovery.Watch(), []
