Losses that all backends share leave none out; one answer where overdue; answers up to 1 MiB

In the log 'overdue' stands at that time: a trip's loss came when the answer was due, _look_after_due gave the invocation up, and the decision made a moment before in the same turn was then carried out as well (reducer.py, _pull). How many in a row mark a backend now follows from the share that backends that are well lose.

--- a/pierglade/__main__.py
+++ b/pierglade/__main__.py
@@ -12,6 +12,7 @@
 from pierglade.terms import terms_from
 
 SOCKETS = 1024      # descriptors; where no limit is told
+GARBAGE = 10000     # objects more than before; next to nothing here is freed by collections, and each costs
 
 
 @dataclass(slots=True)
@@ -85,6 +86,7 @@
         print(f"pierglade: {fault}", file=sys.stderr)
         return 2
     gc.freeze()     # What is loaded stays; collections need not look at it again.
+    gc.set_threshold(GARBAGE, 20, 20)
     return host.run(place_again)
 
 
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -12,10 +12,11 @@
 from collections import deque
 from hashlib import blake2b
 from heapq import heappop, heappush
+from math import log
 
 from pierglade.records import (
     BOUNCE, CALL_OFF, CALLED_OFF, GIVE_UP, GONE, HARMLESS, NEVER_RAN, NEVER_SENT, ONE_SHOT, PROBE, READY,
-    SEND, SETTLED, STAMPED, TIMED_OUT, TURNED_AWAY, UNREACHABLE, Trip)
+    REJECTED, SEND, SETTLED, STAMPED, TIMED_OUT, TURNED_AWAY, UNREACHABLE, Trip)
 
 # Constants. Times are tenths of a millisecond.
 WINDOW_LOW, WINDOW_MEDIUM, WINDOW_HIGH = 3000, 300, 30   # samples; the design's forecast windows by band
@@ -33,7 +34,12 @@
 FIRST_TYPICAL = 0.25    # share of the expected time; leaves room for a further trip
 TYPICAL = 1 / 24        # share of a new answer in an offering's typical latency: about a second's worth
 ERRORS = 0.3            # share of a new outcome in the error level
-ERRORS_BAD, ERRORS_GOOD = 0.4, 0.2  # levels; two errors in a row start an outage, three good answers end it
+ERRORS_GOOD = 0.2       # level; after two errors in a row three good answers end an outage
+UNREACHED = 0.51        # the same share where no connection came up; as much as two errors
+IN_A_ROW = 1.43         # errors; so many and over half of one more start an outage where few trips are lost
+BY_CHANCE = 0.0005      # share; where losses are common, as many in a row as are rarer than this by chance
+LOST_LEAST, LOST_MOST = 0.001, 0.5  # shares lost; rarer is not seen within minutes, half is no chance
+COMMON = 1 / 64         # share of a new outcome in what backends that are well lose; half a second's worth
 SILENT = 6.0            # times typical, summed over the trips out; chance silence is rarer
 SILENT_LEAST = 2.5      # times typical; one slow service must not look silent however many wait behind it
 TRIAL_GAP, TRIAL_GAP_MOST = 1500, 40000   # 150 ms, 4 s; between trials, doubled after each bad one
@@ -139,6 +145,7 @@
         self.each = LIMIT_FIRST / terms.nodes   # how many trips this node may have out for each of those
         self.spare, self.spare_at = 0.0, now    # trips x time that the limit has left over
         self.extra = EXTRA_MOST
+        self.lost = LOST_LEAST      # share of trips that come to nothing at backends that are well
         self.unsettled = 0.0        # invocations that their clients may come back with
         self.overloaded = False
         self.flying, self.ailing = {}, {}       # backends with trips out, and those in trouble
@@ -597,6 +604,7 @@
             self.quick[b] += (ratio - self.quick[b]) * QUICK
             level = max(self.level[b], 1.0)
             if self.trouble[b] is None:
+                self.lost = max(LOST_LEAST, self.lost * (1 - COMMON))
                 row.answers += 1
                 row.typical += (took - row.typical) * max(TYPICAL, 1 / row.answers)
                 self.level[b] += (ratio - self.level[b]) * heed
@@ -612,12 +620,18 @@
                 self.trial_due[b] = self.trouble[b] is FAILING
         elif outcome == CALLED_OFF or outcome == NEVER_SENT:
             pass
+        elif outcome == REJECTED:
+            self.last_answer[b] = now   # What a client got wrong says nothing against the backend.
         else:
             if outcome == TURNED_AWAY:
                 self.last_answer[b] = now
             # Turned away counts too: whoever says no at once has nothing in flight and would attract work.
-            self.errors[b] += (1 - self.errors[b]) * ERRORS
-            if outcome == UNREACHABLE or self.errors[b] >= ERRORS_BAD:
+            self.errors[b] += (1 - self.errors[b]) * (UNREACHED if outcome == UNREACHABLE else ERRORS)
+            if self.trouble[b] is None:
+                self.lost += (1 - self.lost) * COMMON
+            # What all backends lose alike is no one's outage: left out for it, they would leave no room.
+            many = max(IN_A_ROW, log(BY_CHANCE) / log(min(LOST_MOST, self.lost)) - 0.5)
+            if self.errors[b] >= 1 - (1 - ERRORS) ** many:
                 self._begin(b, FAILING, now)
                 if trip.trial:
                     self._next_trial(b, now, worse=True)
--- a/pierglade/net/backends.py
+++ b/pierglade/net/backends.py
@@ -41,8 +41,7 @@
                     if self.link.state is reducer.IDLE:
                         # The next answer could not be told from bytes that nobody asked for.
                         return self._ended(reducer.BROKE, "unasked bytes")
-                    if not self.link.replying:
-                        self.tell(reducer.REPLYING, self.link)
+                    self.tell(reducer.REPLYING, self.link)
         except Malformed as fault:
             return self._ended(reducer.GARBLED, f"malformed answer: {fault}")
         except OSError as fault:
--- a/pierglade/net/discovery.py
+++ b/pierglade/net/discovery.py
@@ -16,6 +16,10 @@
 LINE_MOST = 1 << 20     # bytes of a line; thousands of entries
 
 
+class Lists(Answers):
+    body_most = LINE_MOST
+
+
 class Lost(Exception):
     """The watch is of no more use."""
 
@@ -69,6 +73,8 @@
                     self._whole_list()
                 self._follow()
             except (OSError, Lost, Malformed, httptools.HttpParserError, ValueError) as fault:
+                if not isinstance(fault, (OSError, Lost)):
+                    self.index = None   # What could not be read may have been a change.
                 if not self.left:
                     self.host.tell(reducer.NO_WORD, f"{type(fault).__name__}: {fault}")
             finally:
@@ -110,7 +116,7 @@
 
     def _whole_list(self):
         sock = self._ask(LIST_PATH)
-        answers = Answers()
+        answers = Lists()
         while (message := answers.next()) is None:
             count = sock.recv_into(answers.room())
             if not count:
--- a/pierglade/net/http.py
+++ b/pierglade/net/http.py
@@ -5,9 +5,10 @@
 import httptools
 
 HEAD_MOST = 16384       # bytes of start line and headers; what common servers take
-BODY_MOST = 65536       # bytes of a body; the protocol's most
+BODY_MOST = 65536       # bytes of a request's body; the protocol's most
+ANSWER_MOST = 1 << 20   # bytes of an answer's body; backends in service send up to 400 KB
 FIRST_ROOM = 4096       # bytes a connection starts with; nearly all heads fit
-CHUNKS_MOST = 4 * BODY_MOST     # bytes of a chunked body as sent; beyond it is more framing than body
+CHUNKS_MOST = 4         # times the most of a body, as sent in chunks; beyond it is more framing than body
 INTERIM_MOST = 8        # answers 1xx ahead of the real one; a backend has no use for more
 LENGTH_DIGITS = 18      # digits of a length; longer ones are refused before they are counted with
 
@@ -56,6 +57,7 @@
     """One direction of a connection: a buffer to read into, and the messages in it one by one."""
 
     parser_type = None
+    body_most = BODY_MOST
     head = fields = None        # what a head is made of, from its first line on and from a later one on
 
     def __init__(self):
@@ -192,7 +194,7 @@
             if isinstance(cause, Malformed):
                 raise cause from None
             raise Malformed(400, f"no HTTP: {fault}") from None
-        if self.chunked_size > CHUNKS_MOST:
+        if self.chunked_size > CHUNKS_MOST * self.body_most:
             raise Malformed(413, "body too large")
 
     def _framing(self):
@@ -210,8 +212,8 @@
             if not length.isdigit():
                 raise Malformed(400, "length is no number")
             self.length = int(length[:LENGTH_DIGITS])
-            if self.length > BODY_MOST or len(length) > LENGTH_DIGITS:
-                raise Malformed(413, "body too large")
+            if self.length > self.body_most or len(length) > LENGTH_DIGITS:
+                raise Malformed(413, "body of %s bytes" % length[:LENGTH_DIGITS].decode())
         elif not self._bodiless():
             raise Malformed(400, "an answer whose end cannot be told")
 
@@ -235,7 +237,7 @@
             self.pieces.append(body)
             # Added up as it comes: a body of many small chunks must not cost more than a large one.
             self.pieces_size += len(body)
-            if self.pieces_size > BODY_MOST:
+            if self.pieces_size > self.body_most:
                 raise Malformed(413, "body too large")
 
     def on_message_complete(self):
@@ -261,6 +263,7 @@
 
 
 class Answers(Inbox):
+    body_most = ANSWER_MOST
     parser_type = httptools.HttpResponseParser
     head, fields = re.compile(STATUS_LINE + FIELDS), re.compile(FIELDS)
 
@@ -303,8 +306,8 @@
 
 
 def answer_head(status, headers, length, close):
-    lines = [b"HTTP/1.1 %d %s" % (status, PHRASES[status].encode()), *(b"%s: %s" % pair for pair in headers),
-             b"Content-Length: %d" % length]
+    lines = [b"HTTP/1.1 %d %s" % (status, PHRASES.get(status, "").encode()),
+             *(b"%s: %s" % pair for pair in headers), b"Content-Length: %d" % length]
     if close:
         lines.append(b"Connection: close")
     return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -18,6 +18,7 @@
  CONFIGURED, STOP, WOKE) = (
     "opened", "begun", "asked", "faulty", "answered", "client ended", "up", "replying", "replied",
     "link ended", "heard", "no word", "configured", "stop", "woke")
+UNDECIDED = frozenset((OPENED, BEGUN, ANSWERED, REPLYING))     # they tell the decisions nothing
 # Effects.
 ANSWER, LET_GO, END_CLIENT, CONNECT, WRITE, END_LINK, RELIST, MOVE, CLOSE_DOOR, EXIT, NOTE = (
     "answer", "let go", "end client", "connect", "write", "end link", "relist", "move", "close door", "exit",
@@ -28,9 +29,10 @@
 MARGIN = 50             # 5 ms; a trip times out this much ahead of the limit, to be answered before it
 GRACE_MARGIN = 1000     # 100 ms; no trip starts this close to the end of a backend's grace
 GRACE_PART = 0.5        # share of the grace that is used even where that margin is longer than it
+REST = 10               # 1 ms; what comes behind an answer has shown by then, and cannot answer the next trip
 IDLE_PART = 0.6         # share of the idle limit after which we close first, so that no trip meets its end
 PROBE_FOR = 2000        # 200 ms; a process that runs says so at once
-REPLY_WHOLE = 1000      # 100 ms; from an answer's first bytes to its last; a spoilt one may never end
+REPLY_GOES_ON = 1000    # 100 ms; between the pieces of an answer; a spoilt one may never end
 FIRST_ASK = 20000       # 2 s; from connecting to the first request's last byte, however it trickles in
 SLOW_SENDER = 20000     # 2 s; to send a later one whole
 SLOW_READER = 50000     # 5 s; to take an answer
@@ -98,7 +100,7 @@
         self.due = self.queued = None
         self.trip = None
         self.probing = False
-        self.replying = 0       # by when the answer that has begun is to be whole; 0: none has
+        self.replying = 0       # by when the answer that has begun is to go on; 0: none has
         self.since = 0
 
 
@@ -111,7 +113,7 @@
         self.name, self.address, self.started = name, address, started
         self.state = None       # as the list says
         self.told = None        # since when it drains or is gone
-        self.idle = []          # the last one used is used next, so that the rest grow old and are closed
+        self.idle = []          # the last one used last
         self.links = 0          # open ones, the idle included
         self.probed_on = None   # the link of a probe that has no result yet
 
@@ -151,8 +153,8 @@
     def apply(self, now, kind, *what):
         self.now, self.effects = max(now, self.now), []
         self.handlers[kind](*what)
-        self._look_after_due()
-        self._pull()
+        if self._look_after_due() or kind not in UNDECIDED:
+            self._pull()
         if self.leaving and not self.exiting and not any(self.clients.values()):
             self.exiting = True
             self._do(EXIT)
@@ -206,9 +208,13 @@
         call(connection)
 
     def _look_after_due(self):
+        """Whether anything was due."""
+        if not self.due or self.due[0][0] > self.now:
+            return False
         while self.due and self.due[0][0] <= self.now:
             _, _, call, subject = heappop(self.due)
             call(subject)
+        return True
 
     def _woke(self):
         """Only the time has passed."""
@@ -418,7 +424,8 @@
                     self._return(subject, r.CALLED_OFF)
             elif kind is r.PROBE:
                 self._probe(node.names[subject])
-            else:
+            elif subject.mark.invocation is subject:
+                # Overdue in the turn in which this was decided, it has its answer, and must not get another.
                 self._final(subject, kind)
 
     def _final(self, invocation, kind):
@@ -448,8 +455,10 @@
         backend = self.backends.get(self.node.names[trip.backend])
         if backend is None or self._past_grace(backend):
             return self._return(trip, r.TURNED_AWAY)
-        if backend.idle:
-            link = backend.idle.pop()
+        # The last one used is used next, so that the rest grow old and are closed; but not at once.
+        link = next((link for link in reversed(backend.idle) if self.now - link.since >= REST), None)
+        if link is not None:
+            backend.idle.remove(link)
             self._is(link, BUSY, self.links)
             self.carried[trip], link.trip = link, trip
             self._watch(link)
@@ -528,9 +537,9 @@
         self._do(WRITE, link, head, message.body)
 
     def _replying(self, link):
-        """The first bytes of an answer have come, and not the last."""
+        """A piece of an answer has come, and it is not whole. Its size is bounded by whoever reads it."""
         if link.state is BUSY:
-            link.replying = self.now + REPLY_WHOLE
+            link.replying = self.now + REPLY_GOES_ON
             self._watch(link)
 
     def _replied(self, link, message):
@@ -545,15 +554,18 @@
             self._probed(link, message.status == 200)
         else:
             trip, link.trip = link.trip, None
-            if message.status == 200:
+            # The client's own fault goes back to it; but 429 would say that nothing ran, which nobody knows.
+            rejected = 400 <= message.status < 500 and message.status != 429
+            if message.status == 200 or rejected:
                 invocation = trip.invocation
                 awaited = not invocation.over
-                self._return(trip, r.SETTLED, done=True)
+                outcome = r.REJECTED if rejected else r.SETTLED
+                self._return(trip, outcome, done=True)
                 if awaited:
-                    self._note(r.SETTLED, offering=invocation.offering.name, trips=len(invocation.trips),
+                    self._note(outcome, offering=invocation.offering.name, trips=len(invocation.trips),
                                ms=(self.now - invocation.arrived) / 10, backend=link.backend.name)
                     headers = http.passed_on(message, KEPT_BACK)
-                    self._answer(invocation.mark, 200, headers, message.body)
+                    self._answer(invocation.mark, message.status, headers, message.body)
             else:
                 never_ran = message.status in (503, 504) and message.fields.get(b"x-never-ran") == b"1"
                 self._note("trip lost", backend=link.backend.name, status=message.status, never_ran=never_ran)
@@ -566,6 +578,7 @@
         else:
             self._is(link, IDLE, self.links)
             backend.idle.append(link)
+            link.since = self.now
             self._connection_due(link, self.now + int(IDLE_PART * self.terms.idle_for),
                                  self._link_idle_too_long)
 
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -20,6 +20,7 @@
 BROKEN = "broken"            # the connection broke; it may have run
 CALLED_OFF = "called off"    # we stopped waiting; it may have run
 NEVER_SENT = "never sent"    # the host did not send it
+REJECTED = "rejected"        # the backend found fault with the invocation itself, and its answer is passed on
 
 NEVER_RAN = frozenset((TURNED_AWAY, UNREACHABLE, NEVER_SENT))
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,5 +1,7 @@
 """Short traces of decisions; each is kept in tests/traces/ and read by people."""
 
+import random
+
 from pierglade import records as r
 from tests.scene import MS, Scene, TraceTest, listed
 
@@ -200,6 +202,22 @@
         self.assertEqual(len(node.index), len(node.names))
         self.assertLess(len(node.ailing), 9)
 
+    def test_what_all_backends_lose_alike_leaves_none_out(self):
+        """Resets and spoilt answers at every backend; then one that loses nearly all is found all the same."""
+        scene = Scene([f"b{n}" for n in range(4)], seed=1)
+        chance = random.Random(5).random
+        lost, out = {}, set()
+        for n in range(600):
+            trips = scene.take("a", offering=2).trips
+            scene.after(5)
+            if trips:
+                at = scene.node.names[trips[-1].backend]
+                scene.end("a", r.BROKEN if chance() < lost.get(at, 0.12) else r.SETTLED, note=False)
+            out.update((n // 401, scene.node.names[b]) for b in scene.node.ailing)
+            if n == 400:
+                lost["b2"] = 0.95
+        self.assertEqual(out, {(1, "b2")})
+
     def test_lost_at_every_backend_is_answered_at_once(self):
         """Held for a backend that it may not go back to, it was answered 0.38 s later and no better."""
         scene = Scene(["b0", "b1"])
