A node's own lateness counts as waiting and not as its backends'; pressed, it bounces unseen

Seen on four times the load (rate, 0.70 of a core): from 10 s on 90% bounced after exactly 75 ms held, CPU at 0.71 s a second and 0.41 ms a try, while backends answer in 5 ms. Profile: decisions and state 34%, parsing 17%, loop 11%, sends 6%, log 4%; nothing stands out. Requests wait up to 200 ms in the kernel before they are read, and answers too, so the limit on trips fell for a lateness of our own. Now what is read counts from the loop's turn in which it came; what went well leaves no log line.

--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -72,6 +72,7 @@
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
 GHOST = 1.5             # times typical; how long a trip that nobody waits for still counts as in flight
 WAITED = 0.1            # share of the expected time; an oldest held wait beyond it ranks what is held by gain
+BEHIND = 1000           # 100 ms; a host that had no rest for so long is short of its core, not held up once
 FADE = 0.999            # share left of what was asked and settled after each 50 ms: about 50 s are seen
 SWEEP = 500             # 50 ms; looking for silence costs little at this pace and finds it within one answer
 NEVER = 1 << 62         # a moment that does not come
@@ -224,8 +225,9 @@
             # Repeats of what was bounced must not make a member look greedy.
             member.rate = member.rate * max(0.0, 1 - (now - member.seen) / RATE_SPAN) + 1
             member.seen = now
-        invocation.held = now
-        invocation.expected = now + self._time_left(invocation)
+        # From when it came, not from when the host came to it: a node short of its core is overloaded too.
+        invocation.held = invocation.arrived
+        invocation.expected = invocation.arrived + self._time_left(invocation)
         self.count += 1
         # By expected time, not by arrival: a client's repeat has less time left than those taken before it.
         o = invocation.offering.index
@@ -260,8 +262,19 @@
 
     def _short(self, invocation):
         """Whether it came with less time than first tries usually do."""
-        usual = self.table[invocation.offering.index].usual_left
-        return invocation.limit - invocation.arrived < (1 - USUAL) * usual
+        return self._is_short(invocation.offering, invocation.limit - invocation.arrived)
+
+    def _is_short(self, offering, left):
+        return left < (1 - USUAL) * self.table[offering.index].usual_left
+
+    def pressed(self, now, idle, offering, came, left):
+        """Whether what has come is bounced unseen, as the host is short of its core: idle last at `idle`.
+
+        Taken all the same, all would come late to their turn, and what is left of the core go into bounces.
+        """
+        bounced = now - idle > BEHIND and now - came > WAITED * offering.expected
+        self.unsettled += bounced and not self._is_short(offering, left)
+        return bounced
 
     def returned(self, now, trip, outcome, took, done):
         """A trip has ended."""
@@ -609,7 +622,7 @@
                 row.typical += (took - row.typical) * max(TYPICAL, 1 / row.answers)
                 self.level[b] += (ratio - self.level[b]) * heed
                 self._sample(b, now)
-                self._follow_strain(trip, now)
+                self._follow_strain(trip, took)
                 if self.quick[b] > FAR * level:
                     self._begin(b, SLOW, now)
             elif trip.sent < self.since[b] and self.trouble[b] is not SILENCE:
@@ -636,10 +649,10 @@
                 if trip.trial:
                     self._next_trial(b, now, worse=True)
 
-    def _follow_strain(self, trip, now):
+    def _follow_strain(self, trip, took):
         """Fewer trips out when too many answers come close to their expected time, more when few do."""
         step = min(LIMIT_STEP, LIMIT_TRIPS / (self.each * self.fleet))
-        if now - trip.sent > STRAIN * trip.invocation.offering.expected:
+        if took > STRAIN * trip.invocation.offering.expected:
             # With many trips of its own a node evens them out, and may fill backends more than one of many.
             least = LIMIT_LEAST + LIMIT_OWN * min(1.0, self.fleet / self.terms.nodes / 2)
             self.each = max(least / self.terms.nodes, self.each * (1 - step * (1 - STRAINED)))
--- a/pierglade/net/clock.py
+++ b/pierglade/net/clock.py
@@ -16,6 +16,34 @@
         return (time.monotonic_ns() + self.ahead) // 100000
 
 
+class Turns:
+    """Follows the loop's turns: `came` is when what is read in this one is likely to have come, `idle` when
+    the loop last had to wait.
+
+    A loop that had to wait is told at once. One that did not has worked through its last turn meanwhile, and
+    what it finds has come in the course of that.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.began = self.asked = self.came = self.idle = clock.now()
+        loop = gevent.get_hub().loop
+        self.watchers = loop.prepare(ref=False), loop.check(ref=False)
+        for watcher, call in zip(self.watchers, (self._asks, self._begins)):
+            watcher.start(call)
+
+    def _asks(self):
+        self.asked = self.clock.now()
+
+    def _begins(self):
+        now = self.clock.now()
+        if now > self.asked + 1:
+            self.came = self.idle = now
+        else:
+            self.came = (self.began + now) // 2
+        self.began = now
+
+
 class Timer:
     """Calls back at the last moment that was set, in a greenlet of its own, with how late that is.
 
--- a/pierglade/net/host.py
+++ b/pierglade/net/host.py
@@ -12,7 +12,7 @@
 from pierglade.net import reducer as rd
 from pierglade.net.backends import LinkSocket
 from pierglade.net.clients import ClientSocket, Door
-from pierglade.net.clock import Clock, Timer
+from pierglade.net.clock import Clock, Timer, Turns
 from pierglade.net.discovery import Discovery
 from pierglade.net.log import Log
 
@@ -33,6 +33,7 @@
                                   place.told)
         self.reducer.known(place.known)
         self.inbox, self.working = deque(), False
+        self.turns = Turns(self.clock)
         self.carriers = {
             rd.ANSWER: lambda client, head, body: client.io.answer(head, body, client.last),
             rd.LET_GO: lambda client, reason: client.io.let_go(reason),
@@ -107,15 +108,15 @@
 
     def tell(self, kind, *what):
         """One event after the other; what an effect brings about comes after the effects before it."""
-        self.inbox.append((kind, what))
+        self.inbox.append((kind, what, self.turns.came, self.turns.idle))
         if self.working:
             return
         self.working = True
         try:
             while self.inbox:
-                kind, what = self.inbox.popleft()
+                kind, what, came, idle = self.inbox.popleft()
                 try:
-                    effects = self.reducer.apply(self.clock.now(), kind, *what)
+                    effects = self.reducer.apply(self.clock.now(), kind, *what, came=came, idle=idle)
                 except Exception as fault:
                     self._fault(fault)
                     effects = self.reducer.salvage(what[0] if what else None)
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -47,6 +47,7 @@
 FORGET = 2              # times the longest hard limit; then nothing out can concern a gone backend
 SPENT_FOR = 20000       # 2 s; an id is not taken again so soon after its answer: a copy may just be coming in
 ID_MOST = 256           # bytes of an id; ids are kept while their invocation is open
+PRESSED_LINE = 10000    # 1 s; what is bounced unseen is told of once in this time
 FIRST_WORD = 3000       # 0.3 s; with the list it was started with, a node waits so long for a newer one
 
 READY_PATH, LIVE_PATH = b"/health/ready", b"/health/live"
@@ -142,7 +143,8 @@
         self.stopped = None             # since when
         self.leaving = self.exiting = False
         self.due, self.count = [], 0    # heap of (moment, count, what is due, its subject)
-        self.now, self.effects = now, []
+        self.now, self.came, self.idle, self.effects = now, now, now, []
+        self.pressed = 0                # invocations bounced unseen that no line has told of yet
         self.handlers = {
             OPENED: self._opened, BEGUN: self._begun, ASKED: self._asked, FAULTY: self._faulty,
             ANSWERED: self._answered, CLIENT_ENDED: self._client_ended, UP: self._up,
@@ -150,8 +152,11 @@
             HEARD: self._heard, NO_WORD: self._no_word,
             CONFIGURED: self._configured, STOP: self._stop, WOKE: self._woke}
 
-    def apply(self, now, kind, *what):
+    def apply(self, now, kind, *what, came=NEVER, idle=NEVER):
+        """`came`: when what this is about may have come, if that was before the host got round to it; `idle`:
+        when the host last had nothing to do."""
         self.now, self.effects = max(now, self.now), []
+        self.came, self.idle = min(came, self.now), idle
         self.handlers[kind](*what)
         if self._look_after_due() or kind not in UNDECIDED:
             self._pull()
@@ -291,16 +296,27 @@
             return self._refuse(client, 400, last=True)
         if client.crowded:
             return self._answer(client, 503)    # Nothing was sent for it.
-        limit = self.now + min(int(left) * 10, offering.hard_limit)
+        left = min(int(left) * 10, offering.hard_limit)
+        if self.node.pressed(self.now, self.idle, offering, self.came, left):
+            if not self.pressed:
+                self._at(self.now + PRESSED_LINE, self._tell_pressed, None)
+            self.pressed += 1
+            return self._answer(client, 503)
+        limit = self.came + left
         member = self.members.get(fields.get(b"x-customer"))
         repeat = fields.get(b"x-second-try") == b"1"
-        invocation = r.Invocation(client, offering, member, self.now, limit, repeat)
+        invocation = r.Invocation(client, offering, member, self.came, limit, repeat)
         self._is(client, OWED, self.clients)
         client.invocation, client.id = invocation, name
         self.ids[name] = client
         self._connection_due(client, max(limit - MARGIN // 2, self.now + 1), self._overdue)
         self.node.taken(self.now, invocation)
 
+    def _tell_pressed(self, _):
+        """One line for many: they come by thousands, and at the worst time."""
+        self._note("pressed", bounced=self.pressed)
+        self.pressed = 0
+
     def _is_known(self, name):
         while self.spent and self.spent[0][0] <= self.now:
             self.ids.pop(self.spent.popleft()[1], None)
@@ -441,7 +457,8 @@
 
     def _return(self, trip, outcome, done=False):
         self.carried.pop(trip, None)
-        self.node.returned(self.now, trip, outcome, self.now - trip.sent, done)
+        # The node's own lateness is no latency of the backend's.
+        self.node.returned(self.now, trip, outcome, max(1, self.came - trip.sent), done)
 
     def _drop(self, trip, reason):
         """Nothing more is sent for the trip, and no answer is taken."""
@@ -562,8 +579,10 @@
                 outcome = r.REJECTED if rejected else r.SETTLED
                 self._return(trip, outcome, done=True)
                 if awaited:
-                    self._note(outcome, offering=invocation.offering.name, trips=len(invocation.trips),
-                               ms=(self.now - invocation.arrived) / 10, backend=link.backend.name)
+                    if rejected or len(invocation.trips) > 1 or self.now > invocation.expected:
+                        # What went well leaves no line: at four times the load there were too many of them.
+                        self._note(outcome, offering=invocation.offering.name, trips=len(invocation.trips),
+                                   ms=(self.now - invocation.arrived) / 10, backend=link.backend.name)
                     headers = http.passed_on(message, KEPT_BACK)
                     self._answer(invocation.mark, message.status, headers, message.body)
             else:
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -143,8 +143,8 @@
         endpoints = [entry(b) if isinstance(b, str) else b for b in backends]
         self.tell(rd.HEARD, {"index": index, "snapshot": whole, "endpoints": endpoints})
 
-    def tell(self, kind, *what):
-        for effect, *rest in self.reducer.apply(self.now, kind, *what):
+    def tell(self, kind, *what, **came):
+        for effect, *rest in self.reducer.apply(self.now, kind, *what, **came):
             if effect is rd.NOTE:
                 event, fields = rest
                 self.say(" ".join(["note", event, *(f"{k}={v}" for k, v in fields.items() if not k.endswith("ms"))]))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import threading
+import time
 from unittest import mock
 
 import gevent
@@ -19,7 +20,7 @@
 from pierglade.net import reducer as rd
 from pierglade.net.backends import LinkSocket
 from pierglade.net.clients import ClientSocket
-from pierglade.net.clock import Timer
+from pierglade.net.clock import Clock, Timer, Turns
 from pierglade.net.log import Log
 from tests.scene import TraceTest, entry, message
 
@@ -150,6 +151,22 @@
         timer.set(None)
         self.assertEqual(called, [600])
 
+    def test_what_waited_while_the_loop_was_busy(self):
+        """Seen only when the loop comes round, it has come in the course of the turn before."""
+        turns = Turns(Clock())
+        for _ in range(3):
+            gevent.sleep(0.002)
+        idle = turns.clock.now() - turns.came
+        ours, theirs = gevent.socket.socketpair()
+        theirs.send(b"x")
+        end = time.monotonic() + 0.05
+        while time.monotonic() < end:
+            pass
+        gevent.socket.wait_read(ours.fileno())
+        self.assertLess(idle + 100, turns.clock.now() - turns.came)
+        ours.close()
+        theirs.close()
+
     def test_the_timer_that_is_put_off(self):
         called, times = [], [1000]
         timer = Timer(mock.Mock(now=lambda: times[0]), called.append)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -1,5 +1,6 @@
 """Short traces of a node's whole state: events in, effects out, no sockets."""
 
+from pierglade.net import http
 from pierglade.net import reducer as rd
 from tests.scene import Desk, TraceTest, entry, message
 
@@ -55,6 +56,37 @@
         desk.reply()
         self.check("node_limit", desk.lines)
 
+    def test_the_node_comes_late(self):
+        """Its lateness is on the invocation's account, for early bounces, and not on the backend's."""
+        desk = Desk(["b0"])
+        desk.open("c0")
+        for waited in (50, 130):
+            desk.now += 2000
+            head = f"GET /look HTTP/1.1\r\nHost: h\r\nX-Trace-Id: {waited}\r\n\r\n"
+            desk.tell(rd.ASKED, desk.clients["c0"], message(head.encode()), came=desk.now - waited * 10)
+            if waited == 50:
+                desk.up()
+                desk.now += 1000
+                answer = b"HTTP/1.1 200 .\r\nContent-Length: 0\r\n\r\n"
+                desk.tell(rd.REPLIED, desk.links[0], message(answer, http.Answers), came=desk.now - 800)
+                desk.taken("c0")
+        typical = desk.reducer.node.table[0].typical
+        desk.say(f"typical {typical / 10:.0f} of 100 at first")
+        self.check("node_late", desk.lines)
+
+    def test_short_of_its_core(self):
+        """Not over one stretch in which the machine stood still; told of in one line."""
+        desk = Desk(["b0"])
+        for n, (idle, waited) in enumerate(((50, 45), (150, 30), (150, 45), (150, 45))):
+            desk.now += 2000
+            desk.open(f"c{n}")
+            head = f"GET /look HTTP/1.1\r\nHost: h\r\nX-Trace-Id: {n}\r\n\r\n"
+            desk.say(f"idle {idle} ms ago, waited {waited} ms")
+            desk.tell(rd.ASKED, desk.clients[f"c{n}"], message(head.encode()),
+                      came=desk.now - waited * 10, idle=desk.now - idle * 10)
+        desk.after(1001)
+        self.check("node_pressed", [line for line in desk.lines if "link" not in line])
+
     def test_decided_in_the_turn_in_which_it_is_overdue(self):
         """The loss of its trip comes late, when its answer is due: one answer, not two."""
         desk = Desk(["b0"])
