--- a/pierglade/net/backends.py
+++ b/pierglade/net/backends.py
@@ -17,6 +17,12 @@
 
     def run(self):
         """Opens the connection, then reads until it ends."""
+        try:
+            self._run()
+        finally:
+            self.answers.drop()
+
+    def _run(self):
         try:
             host, _, port = self.link.address.rpartition(":")
             self.sock.connect((host, int(port)))
--- a/pierglade/net/clients.py
+++ b/pierglade/net/clients.py
@@ -50,6 +50,8 @@
                 gevent.sleep(0)     # It may send at full speed, and must not have the core to itself.
         except OSError as fault:
             reason = f"broke: {fault.strerror}"
+        finally:
+            self.requests.drop()
         self.tell(reducer.CLIENT_ENDED, self.client, reason)
 
     def _take(self):
@@ -91,6 +93,7 @@
         if last:
             # Closed at once with something unread, the connection would be reset and the answer lost.
             self.last = True
+            self.requests.drop()
             self.requests = Requests()
             try:
                 self.sock.shutdown(socket.SHUT_WR)
--- a/pierglade/net/http.py
+++ b/pierglade/net/http.py
@@ -127,6 +127,10 @@
         self.held = False
         self._begin()
 
+    def drop(self):
+        """Parser and inbox know each other: left so, the buffer of each that ended waits for a collection."""
+        self.parser = None
+
     def next(self):
         """The next whole message, or None; the inbox holds it until `release`."""
         if self.held:
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -37,6 +37,7 @@
 SLOW_SENDER = 20000     # 2 s; to send a later one whole
 SLOW_READER = 50000     # 5 s; to take an answer
 CLIENT_IDLE = 25000     # 2.5 s; some clients ask once and stay, and would take the descriptors from the links
+CLIENT_PART = 0.25      # share of the descriptors; beyond it clients that rest are let go, longest idle first
 YIELD_AFTER = 1000      # 100 ms; idle for less, a connection is likely to be used the next moment
 YIELD_FRESH = 200       # 20 ms; who opens a connection in earnest asks at once
 LINGER = 10000          # 1 s; for a client to close after its last answer
@@ -47,7 +48,7 @@
 FORGET = 2              # times the longest hard limit; then nothing out can concern a gone backend
 SPENT_FOR = 20000       # 2 s; an id is not taken again so soon after its answer: a copy may just be coming in
 ID_MOST = 256           # bytes of an id; ids are kept while their invocation is open
-PRESSED_LINE = 10000    # 1 s; what is bounced unseen is told of once in this time
+TOLD_AFTER = 10000      # 1 s; what comes by hundreds is told of once in this time
 FIRST_WORD = 3000       # 0.3 s; with the list it was started with, a node waits so long for a newer one
 
 READY_PATH, LIVE_PATH = b"/health/ready", b"/health/live"
@@ -75,8 +76,7 @@
 class Client:
     """A client's connection, and the invocation that it is owed an answer for."""
 
-    __slots__ = ("io", "state", "since", "due", "queued", "message", "invocation", "id", "last", "crowded",
-                 "yields")
+    __slots__ = ("io", "state", "since", "due", "queued", "message", "invocation", "id", "last", "yields")
 
     def __init__(self, io):
         self.io = io
@@ -85,7 +85,6 @@
         self.due = self.queued = None
         self.message = self.invocation = self.id = None
         self.last = False       # it ends with its next answer
-        self.crowded = False    # it came when the sockets were used up
         self.yields = False     # it was asked to make room, and ends unless something of it is unread
 
 
@@ -144,7 +143,8 @@
         self.leaving = self.exiting = False
         self.due, self.count = [], 0    # heap of (moment, count, what is due, its subject)
         self.now, self.came, self.idle, self.effects = now, now, now, []
-        self.pressed = 0                # invocations bounced unseen that no line has told of yet
+        # What no line has told of yet: invocations bounced unseen, clients that found no descriptor left.
+        self.pressed = self.crowded = 0
         self.handlers = {
             OPENED: self._opened, BEGUN: self._begun, ASKED: self._asked, FAULTY: self._faulty,
             ANSWERED: self._answered, CLIENT_ENDED: self._client_ended, UP: self._up,
@@ -235,8 +235,12 @@
         client.since = self.now
         self._connection_due(client, self.now + FIRST_ASK, self._idle_too_long)
         if not self._make_room(client):
-            # Nothing idle is left to yield: whoever came last is told to come back.
-            client.last = client.crowded = True
+            # Nothing idle is left to yield: whoever came last is served, and let go with the answer.
+            client.last = True
+            if not self.crowded:
+                self._at(self.now + TOLD_AFTER, self._tell_crowded, None)
+            self.crowded += 1
+        self._keep_share(client)
 
     def _rest(self, client):
         self._is(client, IDLE, self.clients)
@@ -296,12 +300,10 @@
         if self._is_known(name):
             # Another's, or one that ran already: passed on, it would run twice.
             return self._refuse(client, 400, last=True)
-        if client.crowded:
-            return self._answer(client, 503)    # Nothing was sent for it.
         left = min(int(left) * 10, offering.hard_limit)
         if self.node.pressed(self.now, self.idle, offering, self.came, left):
             if not self.pressed:
-                self._at(self.now + PRESSED_LINE, self._tell_pressed, None)
+                self._at(self.now + TOLD_AFTER, self._tell_pressed, None)
             self.pressed += 1
             return self._answer(client, 503)
         limit = self.came + left
@@ -319,6 +321,11 @@
         self._note("pressed", bounced=self.pressed)
         self.pressed = 0
 
+    def _tell_crowded(self, _):
+        self._note("crowded", clients=self.crowded, links={s: len(some) for s, some in self.links.items()},
+                   **{s: len(some) for s, some in self.clients.items()})
+        self.crowded = 0
+
     def _is_known(self, name):
         while self.spent and self.spent[0][0] <= self.now:
             self.ids.pop(self.spent.popleft()[1], None)
@@ -406,6 +413,15 @@
                 return False
         return self.open <= self.sockets + SPARE // 2
 
+    def _keep_share(self, newcomer):
+        """Clients that hold on to what they do not use must not keep the others from connecting."""
+        most = CLIENT_PART * self.sockets
+        while sum(map(len, self.clients.values())) - self.yielding > most:
+            client = self._first(FRESH, newcomer, YIELD_FRESH) or self._first(IDLE, newcomer, YIELD_AFTER)
+            if client is None:
+                return
+            self._let_yield(client)
+
     def _first(self, state, newcomer, after=0):
         """Who has been in this state for longest and may yield."""
         if self.open > self.sockets + SPARE // 2:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,6 +10,7 @@
 import tempfile
 import threading
 import time
+import weakref
 from unittest import mock
 
 import gevent
@@ -106,6 +107,15 @@
         inbox.filled(len(second))
         self.assertEqual(inbox.next().url, b"/b")
 
+    def test_an_inbox_that_is_dropped_is_gone(self):
+        """Not at the next collection: under ever new connections their buffers would add up until then."""
+        for kind in (http.Requests, http.Answers):
+            inbox = kind()
+            gone = weakref.ref(inbox)
+            inbox.drop()
+            del inbox
+            self.assertIsNone(gone())
+
     def test_what_is_passed_on(self):
         taken = message(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close, x-once\r\nX-Once: 1\r\nx-kept: 2\r\n"
                         b"Keep-Alive: 3\r\nConnection: X-TWICE\r\nX-Twice: 4\r\nX-But: 5\r\n\r\n")
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -309,6 +309,16 @@
         desk.ask("usual")
         self.check("node_silent", desk.lines)
 
+    def test_clients_that_hold_on_make_way_for_others(self):
+        """Descriptors are left, but clients are allowed no more connections than a part of them."""
+        desk = Desk(["b0"], sockets=rd.SPARE + 16)
+        for n in range(7):
+            desk.open(f"c{n}")
+            desk.tell(rd.ASKED, desk.clients[f"c{n}"], message(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+            desk.taken(f"c{n}")
+            desk.after(50)
+        self.check("node_share", [line for line in desk.lines if "answer" not in line])
+
     def test_slow_sender_and_slow_reader(self):
         desk = Desk(["b0"])
         desk.open("c0")
