--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -38,6 +38,7 @@
 SLOW_READER = 50000     # 5 s; to take an answer
 CLIENT_IDLE = 25000     # 2.5 s; some clients ask once and stay, and would take the descriptors from the links
 CLIENT_PART = 0.25      # share of the descriptors; beyond it clients that rest are let go, longest idle first
+RESTS = 5000            # 0.5 s; idle for so long, a client's connection makes way for others
 YIELD_AFTER = 1000      # 100 ms; idle for less, a connection is likely to be used the next moment
 YIELD_FRESH = 200       # 20 ms; who opens a connection in earnest asks at once
 LINGER = 10000          # 1 s; for a client to close after its last answer
@@ -417,7 +418,7 @@
         """Clients that hold on to what they do not use must not keep the others from connecting."""
         most = CLIENT_PART * self.sockets
         while sum(map(len, self.clients.values())) - self.yielding > most:
-            client = self._first(FRESH, newcomer, YIELD_FRESH) or self._first(IDLE, newcomer, YIELD_AFTER)
+            client = self._first(FRESH, newcomer, YIELD_FRESH) or self._first(IDLE, newcomer, RESTS)
             if client is None:
                 return
             self._let_yield(client)
@@ -441,7 +442,9 @@
     def _stays(self, client):
         """Asked to make room, it had something unread: it is served, and let go with its answer."""
         if client.yields:
-            client.yields, self.yielding, client.last = False, self.yielding - 1, True
+            client.yields, self.yielding = False, self.yielding - 1
+            # Where descriptors are left it was in use, and only the node was late to see it.
+            client.last = client.last or self.open > self.sockets
 
     # Trips.
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -316,8 +316,12 @@
             desk.open(f"c{n}")
             desk.tell(rd.ASKED, desk.clients[f"c{n}"], message(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
             desk.taken(f"c{n}")
-            desk.after(50)
-        self.check("node_share", [line for line in desk.lines if "answer" not in line])
+            desk.after(150)
+        desk.say("c1 has something unread, which the node was late to see: it is served and stays")
+        desk.ask("c1")
+        desk.up()
+        desk.reply()
+        self.check("node_share", [line for line in desk.lines if "404" not in line])
 
     def test_slow_sender_and_slow_reader(self):
         desk = Desk(["b0"])
