--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -72,8 +72,6 @@
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
 GHOST = 1.5             # times typical; how long a trip that nobody waits for still counts as in flight
 WAITED = 0.1            # share of the expected time; an oldest held wait beyond it ranks what is held by gain
-BEHIND_SHARE = 1 / 32   # share of a new wait in how far the host is behind; a few ms where that matters
-UNREAD_MOST = 4.0       # times the limit; more at once would flood the backends if the host is wrong
 BEHIND = 1000           # 100 ms; a host that had no rest for so long is short of its core, not held up once
 FADE = 0.999            # share left of what was asked and settled after each 50 ms: about 50 s are seen
 SWEEP = 500             # 50 ms; looking for silence costs little at this pace and finds it within one answer
@@ -148,7 +146,6 @@
         self.each = LIMIT_FIRST / terms.nodes   # how many trips this node may have out for each of those
         self.spare, self.spare_at = 0.0, now    # trips x time that the limit has left over
         self.extra = EXTRA_MOST
-        self.behind = 0.0           # smoothed, how late the host reads what has come
         self.lost = LOST_LEAST      # share of trips that come to nothing at backends that are well
         self.unsettled = 0.0        # invocations that their clients may come back with
         self.overloaded = False
@@ -316,19 +313,10 @@
 
     def _spend(self, now):
         """What the trips out have left over of the limit, up to now."""
-        limit = self._limit()
+        limit = self.each * self.fleet
         self.spare = min(limit * LIMIT_SPAN, self.spare + (limit - self.busy) * (now - self.spare_at))
         self.spare_at = now
 
-    def _limit(self):
-        # Of the trips out, some are answered and not read yet: as many as come while the host is behind.
-        unread = self.behind / min(row.typical for row in self.table)
-        return self.each * self.fleet * (1 + min(UNREAD_MOST, unread))
-
-    def lag(self, waited):
-        """How long something had come before the host got round to it."""
-        self.behind += (waited - self.behind) * BEHIND_SHARE
-
     def streaming(self, trip):
         """The answer has started; the trip belongs to the client."""
         trip.called_off = trip.invocation.over = True
@@ -377,7 +365,7 @@
                 heappop(queue)
                 return self._final(invocation)
             self._spend(now)
-            limit = self._limit()
+            limit = self.each * self.fleet
             peak = min(PEAK_SMALL * limit + 1, PEAK_LARGE * limit + PEAK_MORE)
             if self.spare < 0 and limit > self.busy:
                 self._due(now + 1 - int(self.spare / (limit - self.busy)))
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -158,8 +158,6 @@
         when the host last had nothing to do."""
         self.now, self.effects = max(now, self.now), []
         self.came, self.idle = min(came, self.now), idle
-        if kind is ASKED or kind is REPLIED:
-            self.node.lag(self.now - self.came)
         self.handlers[kind](*what)
         if self._look_after_due() or kind not in UNDECIDED:
             self._pull()
