--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -434,7 +434,9 @@
         """The moment from which a trip would no longer come back by the expected time."""
         offering = invocation.offering
         # Not all of the expected time: or an offering that was once slow would never be tried again.
-        times = HOPELESS if self.overloaded or sure else CHANCE
+        # One of hundreds of nodes cannot tell that there is room.
+        room = not self.overloaded and len(self.turn) == len(self.ranked)
+        times = CHANCE if room and not sure else HOPELESS
         need = min(times * self.table[offering.index].typical, HOPELESS_MOST * offering.expected)
         return invocation.expected - max(HOPELESS_LEAST, int(need))
 
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -38,7 +38,6 @@
 SLOW_READER = 50000     # 5 s; to take an answer
 CLIENT_IDLE = 25000     # 2.5 s; some clients ask once and stay, and would take the descriptors from the links
 CLIENT_PART = 0.25      # share of the descriptors; beyond it clients that rest are let go, longest idle first
-RESTS = 5000            # 0.5 s; idle for so long, a client's connection makes way for others
 YIELD_AFTER = 1000      # 100 ms; idle for less, a connection is likely to be used the next moment
 YIELD_FRESH = 200       # 20 ms; who opens a connection in earnest asks at once
 LINGER = 10000          # 1 s; for a client to close after its last answer
@@ -416,7 +415,7 @@
         """Clients that hold on to what they do not use must not keep the others from connecting."""
         most = CLIENT_PART * self.sockets
         while sum(map(len, self.clients.values())) - self.yielding > most:
-            client = self._first(FRESH, newcomer, YIELD_FRESH) or self._first(IDLE, newcomer, RESTS)
+            client = self._first(FRESH, newcomer, YIELD_FRESH) or self._first(IDLE, newcomer, YIELD_AFTER)
             if client is None:
                 return
             self._let_yield(client)
