--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -255,7 +255,8 @@
         # before the others it would fill the fleet with answers worth nothing. There are no more of them than
         # were not settled: beyond that it is clients with less patience, who are turned away for nothing.
         spent = 0
-        if self._short(invocation) and self.unsettled >= 1:
+        # One of hundreds of nodes gets the repeats of others, and cannot count them.
+        if self._short(invocation) and (self.unsettled >= 1 or len(self.turn) < len(self.ranked)):
             self.unsettled -= 1
             spent = offering.hard_limit - left
         return min(left, offering.expected - spent)
@@ -645,7 +646,9 @@
             if self.trouble[b] is None:
                 self.lost += (1 - self.lost) * COMMON
             # What all backends lose alike is no one's outage: left out for it, they would leave no room.
-            many = max(IN_A_ROW, log(BY_CHANCE) / log(min(LOST_MOST, self.lost)) - 0.5)
+            many = IN_A_ROW
+            if len(self.turn) == len(self.ranked):
+                many = max(many, log(BY_CHANCE) / log(min(LOST_MOST, self.lost)) - 0.5)
             if self.errors[b] >= 1 - (1 - ERRORS) ** many:
                 self._begin(b, FAILING, now)
                 if trip.trial:
@@ -714,7 +717,7 @@
         self._due(min(self.redraw_at, now + SWEEP) if self.again else self.redraw_at)
         self._relieve(now)
         fade = FADE ** ((now - self.swept) / SWEEP)
-        self.unsettled *= max(0.0, 1 - (now - self.swept) / COMES_BACK)
+        self.unsettled = max(0.0, self.unsettled) * max(0.0, 1 - (now - self.swept) / COMES_BACK)
         self.swept = now
         for row in self.table:
             row.asked *= fade
