--- a/pierglade/benchlink/link.py
+++ b/pierglade/benchlink/link.py
@@ -8,7 +8,7 @@
 
 from pierglade import records as r
 from pierglade.choice import Node
-from pierglade.terms import down, terms_from
+from pierglade.terms import down, load_from, terms_from
 
 OUTCOMES = {"success": r.SETTLED, "failure": r.ERROR, "overloaded": r.TURNED_AWAY, "timed_out": r.TIMED_OUT,
             "unreachable": r.UNREACHABLE, "broken": r.BROKEN, "withdrawn": r.CALLED_OFF, "void": r.NEVER_SENT}
@@ -132,6 +132,7 @@
     def completed(self, fields):
         seat, trip = self.trip(fields)
         if trip and trip.outcome is None:
+            self.gauge(seat, fields)
             seat.node.returned(self.now, trip, OUTCOMES[fields["reason"]], down(fields["durationUs"]),
                                bool(fields["doneFlag"]))
             seat.drop_if_over(trip.invocation)
@@ -144,9 +145,15 @@
     def ping_result(self, fields):
         seat = self.seat(fields)
         if seat:
+            self.gauge(seat, fields)
             seat.node.probed(self.now, fields["backend"], fields["reason"] == "success",
                              down(fields["durationUs"]))
 
+    def gauge(self, seat, fields):
+        """The load report, if one came along."""
+        if (figures := fields.get("gauge")) is not None and seat.terms.reports:
+            seat.node.reported(self.now, fields["backend"], load_from(seat.terms.gauges, figures))
+
     def ring(self, fields):
         seat = self.seat(fields)
         if seat and fields["mark"] == str(seat.timer):
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -57,6 +57,9 @@
 VOTES_MOST = 50         # tries; how many it takes to change what is usual, about a second's worth
 PATIENCE = 0.3          # share of the expected time; held longer, it is bounced, as is what is over its share
 IN_VIEW = 5000          # 0.5 s; of a backend seen less often it is not known how full it is
+SEEN_LEAST = 5000       # 0.5 s; what came in less is luck
+SEE = 5000              # 0.5 s; how often a node looks how much comes to it
+PART_LEAST, PART_MOST = 0.2, 20.0   # times the mean; a node's part of what all are asked for
 FEWEST = 2              # backends; with fewer a node could lose all to one outage
 COLD_MARGIN = 0.5       # share of the cold budget used; the rest is for uneven nodes, machines and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
@@ -111,11 +114,15 @@
         self.quick, self.level, self.errors = [], [], []
         self.trouble, self.since, self.until, self.relapses = [], [], [], []
         self.trial_at, self.trial_gap, self.trial_due, self.trials_out = [], [], [], []
+        self.told_pace = []         # what reports say that a backend settles in a second, for all nodes
         self.work, self.samples, self.sums, self.window = [], [], [], []
         self.pauses, self.mean_pause, self.work_due, self.forecast = [], [], [], []
         # The rotation: the first of the ready backends by rank, as many as this node can keep in view.
+        self.shares = any(member.per_second for member in terms.members)
         self.asked = sum(member.per_second for member in terms.members) / terms.nodes / 10000
-        self.in_view = max(FEWEST, int(self.asked * IN_VIEW)) if self.asked else None
+        self.asked_over = 0.0       # span over which the table's figures are seen, fading with them
+        self.in_view = max(FEWEST, int(self.asked * IN_VIEW)) if self.shares or terms.nodes > 1 else None
+        self.part = 1.0             # times the mean of all nodes that this one is asked for
         self.forget = FORGET * max(o.hard_limit for o in terms.offerings)
         self.most = 0               # ready backends listed at once
         self.warm_pace = 0.0        # what a warm backend in view gets from this node, by size and time
@@ -139,6 +146,7 @@
         self.overloaded = False
         self.flying, self.ailing = {}, {}       # backends with trips out, and those in trouble
         self.sweep_at, self.swept = NEVER, now
+        self.see_at = now
 
     # Inputs: they update what is known.
 
@@ -192,11 +200,11 @@
             sound += self.trouble[b] in COUNTED
         # One at least: a node that was cut off sees all fail, and must still send trials to find them well.
         sound = max(1, sound)
-        self.limit.fits(now, sound, sound * len(self.ranked) / max(1, len(after)))
+        self.limit.fits(now, sound, self.part * sound * len(self.ranked) / max(1, len(after)))
         self.most = max(self.most, len(self.ranked))
         if after:
             # Where members have no shares, what was settled lately: what is asked may be an overload.
-            asked = self.asked or sum(row.got for row in self.table) * (1 - FADE) / SWEEP
+            asked = self.asked if self.shares else self._seen(now, "got")
             self.warm_pace = asked * len(self.ranked) ** 2 / (self.most * len(after) * total)
         self.largest = max((self.size[b] for b in after), default=1.0)
         if after == before:
@@ -205,6 +213,30 @@
         following = [b for b in before[self.at:] + before[:self.at] if b in after]
         self.at = after.index(following[0]) if following else self.pick(max(1, len(after)))
 
+    def _seen(self, now, what):
+        """How many first tries were asked for, or settled, in a tenth of a millisecond of late."""
+        over = self.asked_over + now - self.swept
+        return sum(getattr(row, what) for row in self.table) / max(over, SEEN_LEAST)
+
+    def _see(self, now):
+        """Where members have no shares, a node's part of all that is asked follows from what comes to it."""
+        self.asked = self._seen(now, "asked")
+        told = [self.told_pace[b] for b in self.turn if self.told_pace[b] is not None]
+        if told:
+            fleet = sum(told) / len(told) * len(self.ranked) / 10000
+            self.part = max(PART_LEAST, min(PART_MOST, self.asked * self.terms.nodes / max(fleet, 1e-9)))
+        in_view = max(FEWEST, int(self.asked * IN_VIEW))
+        if not self.in_view / 1.5 <= in_view <= self.in_view * 1.5:
+            self.in_view = in_view
+        self._draw_turn(now)
+
+    def reported(self, now, name, load):
+        """What a backend tells of its load, with an answer or a probe's result."""
+        b = self.index.get(name)
+        if b is not None and load.pace is not None:
+            old = self.told_pace[b]
+            self.told_pace[b] = load.pace if old is None else old + (load.pace - old) / 4
+
     def taken(self, now, invocation):
         """An invocation has come in; from here on it is owed one final answer."""
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_SHARE)
@@ -689,11 +721,15 @@
         self._due(min(self.redraw_at, now + SWEEP) if self.again else self.redraw_at)
         self._relieve(now)
         fade = FADE ** ((now - self.swept) / SWEEP)
+        self.asked_over = (self.asked_over + now - self.swept) * fade
         self.unsettled = max(0.0, self.unsettled) * max(0.0, 1 - (now - self.swept) / COMES_BACK)
         self.swept = now
         for row in self.table:
             row.asked *= fade
             row.got *= fade
+        if not self.shares and now >= self.see_at:
+            self.see_at = now + SEE
+            self._see(now)
         for b in list(self.flying):
             self._due(max(now + SWEEP, self._listen(b, now)))
         for b in list(self.ailing):
@@ -803,7 +839,7 @@
                              (self.zone, None), (self.cell, None),
                              (self.started, 0), (self.left_at, now), (self.cold_until, 0),
                              (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
-                             (self.size, 0.0), (self.owed, self.pick(1000) / 1000),
+                             (self.size, 0.0), (self.told_pace, None), (self.owed, self.pick(1000) / 1000),
                              (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
                              (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
                              (self.relapses, 0),
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -28,6 +28,9 @@
 CONNECT_WITHIN = 10000      # 1 s; a connection on a local network comes up well within it
 IDLE_FOR = 100000           # 10 s; common servers keep an idle connection for longer
 
+# How load reports come, where backends give any.
+WITH_ANSWERS, WITH_PROBES = "with answers", "with probes"
+
 # Kinds of decision that a host pulls.
 SEND, CALL_OFF, BOUNCE, GIVE_UP, PROBE = "send", "call off", "bounce", "give up", "probe"
 
@@ -73,6 +76,8 @@
     connect_within: int = CONNECT_WITHIN    # a connection that is not up by then never will be
     idle_for: int = IDLE_FOR                # backends close a connection that was idle for this long
     drain_grace: int = 0    # how long new trips to a draining or gone backend are still allowed
+    reports: str | None = None  # WITH_ANSWERS, WITH_PROBES, or None where backends tell nothing of their load
+    gauges: tuple = ()          # what a report holds, in order: names of fields of Load, None where not used
 
 
 @dataclass(slots=True)
@@ -86,6 +91,14 @@
     weight: float = 1.0     # what it can bear beside others, as far as the list knows
 
 
+@dataclass(slots=True)
+class Load:
+    """What a backend tells of its load from all nodes; a little late. None: not told."""
+    pace: float | None = None   # invocations settled, in a second
+    queue: float | None = None  # invocations that wait
+    busy: float | None = None   # share of its cores
+
+
 @dataclass(slots=True, eq=False)
 class Invocation:
     """Something taken from a client. `mark` is the host's own and never read by the decisions."""
--- a/pierglade/terms.py
+++ b/pierglade/terms.py
@@ -6,6 +6,8 @@
 
 from pierglade import records as r
 
+GAUGES = {"throughput": "pace", "backlog": "queue", "utilization": "busy"}
+REPORTS = {"piggyback": r.WITH_ANSWERS, "pull": r.WITH_PROBES, "silent": None}
 REPEATS = {"free": r.HARMLESS, "guarded": r.STAMPED, "single_shot": r.ONE_SHOT}
 
 
@@ -26,6 +28,7 @@
         for i, o in enumerate(settings["offerings"])]
     members = [r.Member(m["name"], float(m.get("quotaPerS") or 0)) for m in settings.get("customers") or []]
     limits, contract = settings["limits"], settings["contract"]
+    told = settings.get("loadInfo") or {}
     goal = {k: v for k, v in (settings.get("goal") or {}).items() if k != "tailMiss"}
     return r.Terms(
         offerings=offerings, members=members, number=settings.get("me") or 0,
@@ -40,4 +43,12 @@
         worst_offering=goal.get("worstClass", 0) / (sum(goal.values()) or 1),
         connect_within=down(limits.get("connectTimeoutUs") or r.CONNECT_WITHIN * 100),
         idle_for=down(limits.get("connIdleUs") or r.IDLE_FOR * 100),
-        drain_grace=down(contract.get("drainGraceUs") or 0))
+        drain_grace=down(contract.get("drainGraceUs") or 0),
+        reports=REPORTS[told.get("via") or "silent"],
+        gauges=tuple(GAUGES.get(field) for field in told.get("fields") or ()))
+
+
+def load_from(gauges, figures):
+    """A report as the decisions read it; `figures` stand in the order of the settings' fields."""
+    return r.Load(**{name: float(figure) for name, figure in zip(gauges, figures)
+                     if name and figure is not None})
