--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -121,7 +121,8 @@
         self.shares = any(member.per_second for member in terms.members)
         self.asked = sum(member.per_second for member in terms.members) / terms.nodes / 10000
         self.asked_over = 0.0       # span over which the table's figures are seen, fading with them
-        self.in_view = max(FEWEST, int(self.asked * IN_VIEW)) if self.shares or terms.nodes > 1 else None
+        self.learns = not self.shares and terms.nodes > 1
+        self.in_view = max(FEWEST, int(self.asked * IN_VIEW)) if self.shares or self.learns else None
         self.part = 1.0             # times the mean of all nodes that this one is asked for
         self.forget = FORGET * max(o.hard_limit for o in terms.offerings)
         self.most = 0               # ready backends listed at once
@@ -727,7 +728,7 @@
         for row in self.table:
             row.asked *= fade
             row.got *= fade
-        if not self.shares and now >= self.see_at:
+        if self.learns and now >= self.see_at:
             self.see_at = now + SEE
             self._see(now)
         for b in list(self.flying):
