--- a/pierglade/benchlink/link.py
+++ b/pierglade/benchlink/link.py
@@ -29,7 +29,6 @@
         self.offerings = {o.name: o for o in self.terms.offerings}
         self.members = {m.name: m for m in self.terms.members}
         self.calls = {}
-        self.subscribe = conf.get("membershipMode") == "ask"
         self.timer = None
 
     def drop_if_over(self, invocation):
@@ -99,7 +98,7 @@
         if seat is None:
             return
         if fields["scope"] == "unavailable":
-            seat.subscribe = True
+            seat.node.unlisted(self.now)
         else:
             seat.node.listed(self.now, self.lists[fields["ref"]], fields["scope"] != "update")
 
@@ -177,9 +176,6 @@
     def pull(self, who, seat, out):
         """Writes a node's decisions until it has none."""
         node, now = seat.node, self.now
-        if seat.subscribe:
-            seat.subscribe = False
-            out.append({"Observe": {"who": who, "active": True}})
         while (decision := node.decide(now)) is not None:
             kind, subject = decision
             if kind is r.SEND:
@@ -196,6 +192,8 @@
             elif kind is r.GIVE_UP:
                 out.append({"RespondError": {"who": who, "call": subject.mark}})
                 seat.drop_if_over(subject)
+            elif kind is r.ASK:
+                out.append({"Observe": {"who": who, "active": True}})
             elif kind is r.PROBE:
                 out.append({"Ping": {"who": who, "backend": node.names[subject]}})
             else:
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -16,8 +16,8 @@
 
 from pierglade.limit.room import Room
 from pierglade.records import (
-    BOUNCE, CALL_OFF, CALLED_OFF, GIVE_UP, GONE, HARMLESS, NEVER_RAN, NEVER_SENT, ONE_SHOT, PROBE, READY,
-    REJECTED, SEND, SETTLED, STAMPED, TIMED_OUT, TURNED_AWAY, UNREACHABLE, Trip)
+    ASK, BOUNCE, CALL_OFF, CALLED_OFF, GIVE_UP, GONE, HARMLESS, NEVER_RAN, NEVER_SENT, ONE_SHOT, PROBE, READY,
+    REJECTED, SEND, SETTLED, STAMPED, TIMED_OUT, TURNED_AWAY, UNREACHABLE, WITH_PROBES, Trip)
 
 # Constants. Times are tenths of a millisecond.
 WINDOW_LOW, WINDOW_MEDIUM, WINDOW_HIGH = 3000, 300, 30   # samples; the design's forecast windows by band
@@ -57,8 +57,24 @@
 VOTES_MOST = 50         # tries; how many it takes to change what is usual, about a second's worth
 PATIENCE = 0.3          # share of the expected time; held longer, it is bounced, as is what is over its share
 IN_VIEW = 5000          # 0.5 s; of a backend seen less often it is not known how full it is
+TOLD = 1 / 3            # share of a new report; one covers few answers
+TOLD_FOR = 30000        # 3 s; an older report says nothing of now
+BUSY_LEAST = 0.2        # share of cores in use from which what a backend settles tells what it can
+USUALLY = 1 / 32        # share of a new report in what a backend usually does
+USUAL_FROM = 4          # reports that this must rest on
+WELL = 0.9              # of what backends usually do; they had rest enough
+PROBES = 0.05           # probes for each trip, where only they tell the load
+FULL = 0.85             # share of cores in use; with less, there is room for more trips
+ROOM_MORE, ROOM_LESS, ROOM_MOST = 1.1, 0.95, 4.0    # times; the limit grows and shrinks by reports, look by look
+SHARED = 0.65           # of what backends usually do; less, of all alike, is no chance
+REST_FROM = 0.6         # share of cores in use; with less, backends have their rest already
+SURE_FOR = 4000         # 0.4 s; so long must it look so
+REST_EACH, REST_IN = 70000, 7000    # 7 s, 0.7 s; rests begin at multiples of the one, within the other
+REST_FOR, REST_AGAIN = 50000, 120000    # 5 s, 12 s; a rest, and from its start to another
+REST_PART = 0.2         # of the limit; cores are then less than half in use
+ASK_GAP, ASK_GAP_MOST = 5000, 40000     # 0.5 s, 4 s; in the mean until the list is asked for again, doubled
 SEEN_LEAST = 5000       # 0.5 s; what came in less is luck
-SEE = 5000              # 0.5 s; how often a node looks how much comes to it
+SEE = 2000              # 0.2 s; how often a node looks how much comes to it
 PART_LEAST, PART_MOST = 0.2, 20.0   # times the mean; a node's part of what all are asked for
 FEWEST = 2              # backends; with fewer a node could lose all to one outage
 COLD_MARGIN = 0.5       # share of the cold budget used; the rest is for uneven nodes, machines and work
@@ -114,7 +130,10 @@
         self.quick, self.level, self.errors = [], [], []
         self.trouble, self.since, self.until, self.relapses = [], [], [], []
         self.trial_at, self.trial_gap, self.trial_due, self.trials_out = [], [], [], []
-        self.told_pace = []         # what reports say that a backend settles in a second, for all nodes
+        # What reports say: settled in a second for all nodes, share of the cores in use, and usually settled
+        # in a second of all cores.
+        self.told_pace, self.told_busy, self.told_at = [], [], []
+        self.usual, self.usual_of = [], []
         self.work, self.samples, self.sums, self.window = [], [], [], []
         self.pauses, self.mean_pause, self.work_due, self.forecast = [], [], [], []
         # The rotation: the first of the ready backends by rank, as many as this node can keep in view.
@@ -148,11 +167,17 @@
         self.flying, self.ailing = {}, {}       # backends with trips out, and those in trouble
         self.sweep_at, self.swept = NEVER, now
         self.see_at = now
+        self.ask_at, self.ask_gap = (now if terms.asks_list else NEVER), ASK_GAP
+        self._due(self.ask_at)
+        self.slower_since, self.rest_until, self.rest_again = NEVER, 0, 0
+        self.room, self.seen_at, self.unprobed = 1.0, now, 0.0
 
     # Inputs: they update what is known.
 
     def listed(self, now, entries, whole):
         """The list's word on all backends, or on the changed ones."""
+        if self.ask_at == NEVER:
+            self.ask_gap = ASK_GAP
         if whole:
             named = {e.name for e in entries}
             for name, b in self.index.items():
@@ -181,6 +206,13 @@
                 insort(self.ranked, b, key=self.rank.__getitem__)
         self._draw_turn(now)
 
+    def unlisted(self, now):
+        """The list could not be had, or is followed no more: it is asked for again, later each time."""
+        # All nodes lose it at once, and at once they would ask: by chance apart, and seldom enough to be served.
+        self.ask_at = now + self.ask_gap // 2 + self.pick(self.ask_gap)
+        self.ask_gap = min(ASK_GAP_MOST, self.ask_gap * 2)
+        self._due(self.ask_at)
+
     def _draw_turn(self, now):
         """The rotation runs over the first by rank until enough of them are sound; it starts at random."""
         before, after = self.turn, []
@@ -201,7 +233,8 @@
             sound += self.trouble[b] in COUNTED
         # One at least: a node that was cut off sees all fail, and must still send trials to find them well.
         sound = max(1, sound)
-        self.limit.fits(now, sound, self.part * sound * len(self.ranked) / max(1, len(after)))
+        part = self.part * (REST_PART if now < self.rest_until else self.room)
+        self.limit.fits(now, sound, part * sound * len(self.ranked) / max(1, len(after)))
         self.most = max(self.most, len(self.ranked))
         if after:
             # Where members have no shares, what was settled lately: what is asked may be an overload.
@@ -222,21 +255,57 @@
     def _see(self, now):
         """Where members have no shares, a node's part of all that is asked follows from what comes to it."""
         self.asked = self._seen(now, "asked")
-        told = [self.told_pace[b] for b in self.turn if self.told_pace[b] is not None]
+        told = [b for b in self.turn if self.told_pace[b] is not None and now >= self.cold_until[b]]
         if told:
-            fleet = sum(told) / len(told) * len(self.ranked) / 10000
+            fleet = sum(self.told_pace[b] for b in told) / len(told) * len(self.ranked) / 10000
             self.part = max(PART_LEAST, min(PART_MOST, self.asked * self.terms.nodes / max(fleet, 1e-9)))
+        self._look_for_shared(now, [b for b in told if self.usual_of[b]
+                                    and now - self.told_at[b] < TOLD_FOR])
         in_view = max(FEWEST, int(self.asked * IN_VIEW))
         if not self.in_view / 1.5 <= in_view <= self.in_view * 1.5:
             self.in_view = in_view
         self._draw_turn(now)
 
+    def _look_for_shared(self, now, told):
+        """Slower all alike, at work that was borne before: some such spells end once the backends had a rest."""
+        if now < self.rest_until:
+            told = [b for b in told if self.usual_of[b] >= USUAL_FROM]
+            if sum(self.told_pace[b] for b in told) > WELL * sum(self.told_busy[b] * self.usual[b] for b in told):
+                self.rest_until = now
+            return
+        busy = sum(self.told_busy[b] for b in told)
+        if told and self.limit.bound_at >= self.seen_at:
+            # Room that reports show is let out; what is full by them is left to strain and rounds.
+            self.room = max(1.0, min(ROOM_MOST, self.room * (ROOM_MORE if busy < FULL * len(told) else ROOM_LESS)))
+        self.seen_at = now
+        told = [b for b in told if self.usual_of[b] >= USUAL_FROM]
+        busy = sum(self.told_busy[b] for b in told)
+        does = sum(self.told_pace[b] for b in told)
+        usual = sum(self.told_busy[b] * self.usual[b] for b in told)
+        if not told or busy < REST_FROM * len(told) or does > SHARED * usual:
+            self.slower_since = NEVER
+        elif self.slower_since == NEVER:
+            self.slower_since = now
+        elif now - self.slower_since >= SURE_FOR and now >= self.rest_again and now % REST_EACH < REST_IN:
+            # Only all nodes together give the backends a rest, and the clock is all that they share.
+            self.rest_until, self.rest_again = now - now % REST_EACH + REST_FOR, now + REST_AGAIN
+
     def reported(self, now, name, load):
         """What a backend tells of its load, with an answer or a probe's result."""
         b = self.index.get(name)
-        if b is not None and load.pace is not None:
-            old = self.told_pace[b]
-            self.told_pace[b] = load.pace if old is None else old + (load.pace - old) / 4
+        if b is None or load.pace is None:
+            return
+        old = self.told_pace[b]
+        self.told_pace[b] = load.pace if old is None else old + (load.pace - old) * TOLD
+        if load.busy is not None:
+            if old is None:
+                self.told_busy[b] = load.busy
+            self.told_busy[b] += (load.busy - self.told_busy[b]) * TOLD
+            if self.told_busy[b] > BUSY_LEAST and self.rest_until <= now < self.slower_since:
+                does = self.told_pace[b] / self.told_busy[b]
+                self.usual_of[b] += 1
+                self.usual[b] += (does - self.usual[b]) * max(USUALLY, 1 / self.usual_of[b])
+        self.told_at[b] = now
 
     def taken(self, now, invocation):
         """An invocation has come in; from here on it is owed one final answer."""
@@ -611,6 +680,11 @@
             self._next_trial(b, now)
         if now < self.cold_until[b]:
             self.allowance[b] -= 1
+        if self.learns and self.terms.reports == WITH_PROBES and self.terms.may_probe:
+            self.unprobed += PROBES
+            if self.unprobed >= 1:
+                self.unprobed -= 1
+                self.probes.append(self.turn[self.at % len(self.turn)])
         self.out[b][trip] = self.flying[b] = None
         self._due(now + max(SWEEP, int(SILENT_LEAST * self.table[invocation.offering.index].typical)))
         invocation.trips.append(trip)
@@ -719,6 +793,10 @@
         self.sweep_at = NEVER
         if now >= self.redraw_at:
             self._draw_turn(now)
+        if now >= self.ask_at:
+            self.ask_at = NEVER
+            self.finals.append((ASK, None))
+        self._due(self.ask_at)
         self._due(min(self.redraw_at, now + SWEEP) if self.again else self.redraw_at)
         self._relieve(now)
         fade = FADE ** ((now - self.swept) / SWEEP)
@@ -840,7 +918,8 @@
                              (self.zone, None), (self.cell, None),
                              (self.started, 0), (self.left_at, now), (self.cold_until, 0),
                              (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
-                             (self.size, 0.0), (self.told_pace, None), (self.owed, self.pick(1000) / 1000),
+                             (self.size, 0.0), (self.told_pace, None), (self.told_busy, None),
+                             (self.told_at, 0), (self.usual, 0.0), (self.usual_of, 0), (self.owed, self.pick(1000) / 1000),
                              (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
                              (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
                              (self.relapses, 0),
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -32,7 +32,7 @@
 WITH_ANSWERS, WITH_PROBES = "with answers", "with probes"
 
 # Kinds of decision that a host pulls.
-SEND, CALL_OFF, BOUNCE, GIVE_UP, PROBE = "send", "call off", "bounce", "give up", "probe"
+SEND, CALL_OFF, BOUNCE, GIVE_UP, PROBE, ASK = "send", "call off", "bounce", "give up", "probe", "ask"
 
 
 @dataclass(slots=True)
@@ -76,6 +76,7 @@
     connect_within: int = CONNECT_WITHIN    # a connection that is not up by then never will be
     idle_for: int = IDLE_FOR                # backends close a connection that was idle for this long
     drain_grace: int = 0    # how long new trips to a draining or gone backend are still allowed
+    asks_list: bool = False # the list comes only once it was asked for
     reports: str | None = None  # WITH_ANSWERS, WITH_PROBES, or None where backends tell nothing of their load
     gauges: tuple = ()          # what a report holds, in order: names of fields of Load, None where not used
 
--- a/pierglade/terms.py
+++ b/pierglade/terms.py
@@ -44,6 +44,7 @@
         connect_within=down(limits.get("connectTimeoutUs") or r.CONNECT_WITHIN * 100),
         idle_for=down(limits.get("connIdleUs") or r.IDLE_FOR * 100),
         drain_grace=down(contract.get("drainGraceUs") or 0),
+        asks_list=settings.get("membershipMode") == "ask",
         reports=REPORTS[told.get("via") or "silent"],
         gauges=tuple(GAUGES.get(field) for field in told.get("fields") or ()))
 
