--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -64,7 +64,8 @@
 USUAL_FROM = 4          # reports that this must rest on
 WELL = 0.9              # of what backends usually do; they had rest enough
 PROBES = 0.05           # probes for each trip, where only they tell the load
-FULL = 0.85             # share of cores in use; with less, there is room for more trips
+FULL = 0.9              # share of cores in use; with less, there is room for more trips
+QUEUED = 1.0            # invocations that wait at a backend; with fewer, the same
 ROOM_MORE, ROOM_LESS, ROOM_MOST = 1.1, 0.95, 4.0    # times; the limit grows and shrinks by reports, look by look
 SHARED = 0.65           # of what backends usually do; less, of all alike, is no chance
 REST_FROM = 0.6         # share of cores in use; with less, backends have their rest already
@@ -73,6 +74,8 @@
 REST_FOR, REST_AGAIN = 50000, 120000    # 5 s, 12 s; a rest, and from its start to another
 REST_PART = 0.2         # of the limit; cores are then less than half in use
 ASK_GAP, ASK_GAP_MOST = 5000, 40000     # 0.5 s, 4 s; in the mean until the list is asked for again, doubled
+COST_LEAST, COST_MOST = 0.25, 4.0   # times the mean; hints are not to be trusted beyond
+SOME = 1e-5             # 0.1 a second; a node that nothing has come to yet is asked for that much
 SEEN_LEAST = 5000       # 0.5 s; what came in less is luck
 SEE = 2000              # 0.2 s; how often a node looks how much comes to it
 PART_LEAST, PART_MOST = 0.2, 20.0   # times the mean; a node's part of what all are asked for
@@ -104,6 +107,7 @@
         self.credit = offering.credit
         # Smoothed latency. A first answer alone is a poor guide: by a very quick one all would look silent.
         self.typical = FIRST_TYPICAL * offering.expected
+        self.hinted = 0.0       # smoothed hint of the work
         self.answers = 2        # how many that rests on; the first guess counts as two
         self.asked = 0.0        # first tries taken lately
         self.got = 0.0          # settled lately within the expected time
@@ -133,7 +137,7 @@
         # What reports say: settled in a second for all nodes, share of the cores in use, and usually settled
         # in a second of all cores.
         self.told_pace, self.told_busy, self.told_at = [], [], []
-        self.usual, self.usual_of = [], []
+        self.usual, self.usual_of, self.told_queue = [], [], []
         self.work, self.samples, self.sums, self.window = [], [], [], []
         self.pauses, self.mean_pause, self.work_due, self.forecast = [], [], [], []
         # The rotation: the first of the ready backends by rank, as many as this node can keep in view.
@@ -159,7 +163,7 @@
         self.again = []             # invocations that wait for a further trip
         self.finals = deque()       # decisions already made
         self.probes = deque()
-        self.limit = Room(terms.nodes, len(terms.offerings), now, self.asked or None)
+        self.limit = Room(terms.nodes, len(terms.offerings), now, SOME if self.learns else self.asked or None)
         self.extra = EXTRA_MOST
         self.lost = LOST_LEAST      # share of trips that come to nothing at backends that are well
         self.unsettled = 0.0        # invocations that their clients may come back with
@@ -254,13 +258,19 @@
 
     def _see(self, now):
         """Where members have no shares, a node's part of all that is asked follows from what comes to it."""
-        self.asked = self._seen(now, "asked")
+        self.asked = self.limit.asked = max(SOME, self._seen(now, "asked"))
         told = [b for b in self.turn if self.told_pace[b] is not None and now >= self.cold_until[b]]
         if told:
-            fleet = sum(self.told_pace[b] for b in told) / len(told) * len(self.ranked) / 10000
+            size = sum(self.size[b] for b in self.ranked) / sum(self.size[b] for b in told)
+            fleet = sum(self.told_pace[b] for b in told) * size / 10000
             self.part = max(PART_LEAST, min(PART_MOST, self.asked * self.terms.nodes / max(fleet, 1e-9)))
-        self._look_for_shared(now, [b for b in told if self.usual_of[b]
-                                    and now - self.told_at[b] < TOLD_FOR])
+        told = [b for b in told if now - self.told_at[b] < TOLD_FOR]
+        if told and self.limit.bound_at >= self.seen_at:
+            # Room that reports show is let out; what is full by them is left to strain and rounds.
+            full = sum(self.told_busy[b] / FULL + self.told_queue[b] / QUEUED for b in told) >= len(told)
+            self.room = max(1.0, min(ROOM_MOST, self.room * (ROOM_LESS if full else ROOM_MORE)))
+        self.seen_at = now
+        self._look_for_shared(now, told)
         in_view = max(FEWEST, int(self.asked * IN_VIEW))
         if not self.in_view / 1.5 <= in_view <= self.in_view * 1.5:
             self.in_view = in_view
@@ -273,11 +283,6 @@
             if sum(self.told_pace[b] for b in told) > WELL * sum(self.told_busy[b] * self.usual[b] for b in told):
                 self.rest_until = now
             return
-        busy = sum(self.told_busy[b] for b in told)
-        if told and self.limit.bound_at >= self.seen_at:
-            # Room that reports show is let out; what is full by them is left to strain and rounds.
-            self.room = max(1.0, min(ROOM_MOST, self.room * (ROOM_MORE if busy < FULL * len(told) else ROOM_LESS)))
-        self.seen_at = now
         told = [b for b in told if self.usual_of[b] >= USUAL_FROM]
         busy = sum(self.told_busy[b] for b in told)
         does = sum(self.told_pace[b] for b in told)
@@ -297,10 +302,11 @@
             return
         old = self.told_pace[b]
         self.told_pace[b] = load.pace if old is None else old + (load.pace - old) * TOLD
+        first = old is None
+        if load.queue is not None:
+            self.told_queue[b] += (load.queue - self.told_queue[b]) * (1 if first else TOLD)
         if load.busy is not None:
-            if old is None:
-                self.told_busy[b] = load.busy
-            self.told_busy[b] += (load.busy - self.told_busy[b]) * TOLD
+            self.told_busy[b] += (load.busy - self.told_busy[b]) * (1 if first else TOLD)
             if self.told_busy[b] > BUSY_LEAST and self.rest_until <= now < self.slower_since:
                 does = self.told_pace[b] / self.told_busy[b]
                 self.usual_of[b] += 1
@@ -321,7 +327,12 @@
         self.count += 1
         # By expected time, not by arrival: a client's repeat has less time left than those taken before it.
         o = invocation.offering.index
-        self.table[o].asked += not invocation.repeat
+        row = self.table[o]
+        row.asked += not invocation.repeat
+        if invocation.hint:
+            # Few invocations cost what their offering does in the mean: unweighed, heavy ones look like queues.
+            row.hinted += (invocation.hint - row.hinted) * (TYPICAL if row.hinted else 1)
+            invocation.cost = max(COST_LEAST, min(COST_MOST, invocation.hint / row.hinted))
         queue = self.held[o + invocation.repeat * len(self.table)]
         heappush(queue, (invocation.expected, self.count, invocation))
         self.line.append(invocation)
@@ -518,7 +529,7 @@
         # One of hundreds of nodes cannot tell that there is room.
         room = not self.overloaded and len(self.turn) == len(self.ranked)
         times = CHANCE if room and not sure else HOPELESS
-        need = min(times * self.table[offering.index].typical, HOPELESS_MOST * offering.expected)
+        need = min(times * invocation.cost * self.table[offering.index].typical, HOPELESS_MOST * offering.expected)
         return invocation.expected - max(HOPELESS_LEAST, int(need))
 
     def _after_loss(self, now, invocation, outcome):
@@ -684,7 +695,7 @@
             self.unprobed += PROBES
             if self.unprobed >= 1:
                 self.unprobed -= 1
-                self.probes.append(self.turn[self.at % len(self.turn)])
+                self.probes.append(min(self.turn, key=self.told_at.__getitem__))
         self.out[b][trip] = self.flying[b] = None
         self._due(now + max(SWEEP, int(SILENT_LEAST * self.table[invocation.offering.index].typical)))
         invocation.trips.append(trip)
@@ -703,17 +714,18 @@
             heed = min(QUICK, max(LEVEL, (now - self.last_answer[b]) / LEVEL_SPAN))
             self.last_answer[b] = now
             self.errors[b] *= 1 - ERRORS
-            ratio = min(RATIO_CAP, max(took, GRAIN) / max(row.typical, GRAIN))
+            alike = took / trip.invocation.cost
+            ratio = min(RATIO_CAP, max(alike, GRAIN) / max(row.typical, GRAIN))
             self.quick[b] += (ratio - self.quick[b]) * QUICK
             level = max(self.level[b], 1.0)
             if self.trouble[b] is None:
                 self.lost = max(LOST_LEAST, self.lost * (1 - COMMON))
                 row.answers += 1
-                row.typical += (took - row.typical) * max(TYPICAL, 1 / row.answers)
+                row.typical += (alike - row.typical) * max(TYPICAL, 1 / row.answers)
                 self.level[b] += (ratio - self.level[b]) * heed
                 self._sample(b, now)
                 offering = trip.invocation.offering
-                self.limit.answered(now, offering.index, trip.round, trip.sent, took, offering.expected)
+                self.limit.answered(now, offering.index, trip.round, trip.sent, int(alike), offering.expected)
                 if self.quick[b] > FAR * level:
                     self._begin(b, SLOW, now)
             elif trip.sent < self.since[b] and self.trouble[b] is not SILENCE:
@@ -838,7 +850,9 @@
             return NEVER
         oldest = next(iter(trips))
         quiet = now - max(self.last_answer[b], oldest.sent)
-        typical = max(GRAIN, self.table[oldest.invocation.offering.index].typical * max(self.level[b], 1.0))
+        # A light one may wait behind heavy ones, and has no less patience for it.
+        cost = max(1.0, *(t.invocation.cost for t in trips), 1.0)
+        typical = max(GRAIN, cost * self.table[oldest.invocation.offering.index].typical * max(self.level[b], 1.0))
         patience = typical * max(SILENT_LEAST, SILENT / len(trips))
         if quiet < patience:
             return min(int(now - quiet + patience) + 1, *(t.until for t in trips if t.outcome), NEVER)
@@ -918,7 +932,7 @@
                              (self.zone, None), (self.cell, None),
                              (self.started, 0), (self.left_at, now), (self.cold_until, 0),
                              (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
-                             (self.size, 0.0), (self.told_pace, None), (self.told_busy, None),
+                             (self.size, 0.0), (self.told_pace, None), (self.told_busy, 0.0), (self.told_queue, 0.0),
                              (self.told_at, 0), (self.usual, 0.0), (self.usual_of, 0), (self.owed, self.pick(1000) / 1000),
                              (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
                              (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -109,6 +109,8 @@
     arrived: int
     limit: int          # the moment at which the client gives up
     repeat: bool = False
+    hint: int = 0       # how much work it is, as far as whoever sent it can tell; 0: not told
+    cost: float = 1.0   # that over the mean of its offering
     expected: int = 0   # the moment of its expected time, as the node judges it
     trips: list = field(default_factory=list)
     out: int = 0        # trips still out
