--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -271,7 +271,7 @@
             self.room = max(1.0, min(ROOM_MOST, self.room * (ROOM_LESS if full else ROOM_MORE)))
         self.seen_at = now
         self._look_for_shared(now, told)
-        in_view = max(FEWEST, int(self.asked * IN_VIEW))
+        in_view = max(FEWEST, int(self.asked * IN_VIEW / 2))
         if not self.in_view / 1.5 <= in_view <= self.in_view * 1.5:
             self.in_view = in_view
         self._draw_turn(now)
@@ -290,7 +290,7 @@
         if not told or busy < REST_FROM * len(told) or does > SHARED * usual:
             self.slower_since = NEVER
         elif self.slower_since == NEVER:
-            self.slower_since = now
+            self.slower_since, self.room = now, 1.0
         elif now - self.slower_since >= SURE_FOR and now >= self.rest_again and now % REST_EACH < REST_IN:
             # Only all nodes together give the backends a rest, and the clock is all that they share.
             self.rest_until, self.rest_again = now - now % REST_EACH + REST_FOR, now + REST_AGAIN
