--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -79,6 +79,7 @@
 SEEN_LEAST = 5000       # 0.5 s; what came in less is luck
 SEE = 2000              # 0.2 s; how often a node looks how much comes to it
 PART_LEAST, PART_MOST = 0.2, 20.0   # times the mean; a node's part of what all are asked for
+IN_VIEW_SEEN = 2500     # 0.25 s; the same by what comes to the node, which shares do not spread evenly
 FEWEST = 2              # backends; with fewer a node could lose all to one outage
 COLD_MARGIN = 0.5       # share of the cold budget used; the rest is for uneven nodes, machines and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
@@ -271,7 +272,7 @@
             self.room = max(1.0, min(ROOM_MOST, self.room * (ROOM_LESS if full else ROOM_MORE)))
         self.seen_at = now
         self._look_for_shared(now, told)
-        in_view = max(FEWEST, int(self.asked * IN_VIEW / 2))
+        in_view = max(FEWEST, int(self.asked * IN_VIEW_SEEN))
         if not self.in_view / 1.5 <= in_view <= self.in_view * 1.5:
             self.in_view = in_view
         self._draw_turn(now)
