--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -625,7 +625,7 @@
             skip = self._skip(invocation, b, now)
             if skip is None:
                 # Even turns would overdrive the small machines at a load that the fleet can bear.
-                self.owed[b] += min(1.0, self.size[b] / (self.largest * self.level[b] ** (2.5 if self.learns else 1)))
+                self.owed[b] += min(1.0, self.size[b] / (self.largest * self.level[b] ** (4.0 if self.learns else 1)))
                 if self.owed[b] >= 1:
                     self.owed[b] -= 1
                     self.at = place + 1 if place + 1 < count else 0
