--- a/pierglade/__main__.py
+++ b/pierglade/__main__.py
@@ -9,7 +9,7 @@
 import orjson
 
 from pierglade.records import Terms
-from pierglade.terms import terms_from
+from pierglade.terms import Wrong, terms_from
 
 SOCKETS = 1024      # descriptors; where no limit is told
 GARBAGE = 10000     # objects more than before; next to nothing here is freed by collections, and each costs
@@ -53,6 +53,8 @@
             discovery=environ.get("BALANCER_DISCOVERY") or told["discovery"],
             seed=told["seed"], sockets=int((told.get("limits") or {}).get("sockets") or SOCKETS),
             known=told.get("known") or {}, terms=terms_from(told["settings"]), told=told)
+    except Wrong as fault:
+        raise Unusable(f"{path}: {fault}") from None
     except (KeyError, TypeError, ValueError, AttributeError) as fault:
         raise Unusable(f"{path}: {type(fault).__name__}: {fault}") from None
     for address in (place.listen, place.discovery):
--- a/pierglade/net/discovery.py
+++ b/pierglade/net/discovery.py
@@ -4,6 +4,7 @@
 import httptools
 import orjson
 from gevent import socket
+from gevent.event import Event
 
 from pierglade.net import reducer, sending
 from pierglade.net.http import Answers, Malformed, request_head
@@ -11,6 +12,7 @@
 LIST_PATH = b"/registry/instances"
 ANSWER_IN = 1.0     # s; the agent is on this machine and answers at once
 SILENT = 4.5        # s; over two heartbeats of 2 s
+ASKED_WITHIN = 8.0  # s; the decisions say within 6 s when to ask again
 AGAIN = 0.2         # s; between tries; what is not heard within 6 s counts as told all the same
 READ = 16384        # bytes read at once
 LINE_MOST = 1 << 20     # bytes of a line; thousands of entries
@@ -65,9 +67,12 @@
         self.index = None   # version to follow from; None: the whole list is wanted
         self.sock = None
         self.left = False
+        self.waits = lambda: False      # whether the decisions say when to ask again
+        self.asked = Event()
 
     def run(self):
         while not self.left:
+            self.asked.clear()
             try:
                 if self.index is None:
                     self._whole_list()
@@ -79,8 +84,18 @@
                     self.host.tell(reducer.NO_WORD, f"{type(fault).__name__}: {fault}")
             finally:
                 self._close()
+            self._wait()
+
+    def _wait(self):
+        # Both are bounded: should the settings change meanwhile, nobody would say when.
+        if self.waits():
+            self.asked.wait(ASKED_WITHIN)
+        else:
             gevent.sleep(AGAIN)
 
+    def ask(self):
+        self.asked.set()
+
     def relist(self):
         """What was heard does not fit: the next thing asked for is the whole list."""
         self.index = None
--- a/pierglade/net/host.py
+++ b/pierglade/net/host.py
@@ -41,6 +41,7 @@
             rd.CONNECT: self._connect,
             rd.WRITE: lambda link, head, body: link.io.write(head, body),
             rd.END_LINK: self._end,
+            rd.ASK: lambda: self.discovery.ask(),
             rd.RELIST: lambda: self.discovery.relist(),
             rd.MOVE: self._move,
             rd.CLOSE_DOOR: self.door.close,
@@ -63,6 +64,7 @@
 
     def follow(self, address):
         self.discovery = Discovery(address, self)
+        self.discovery.waits = lambda: self.reducer.terms.asks_list
 
     def _move(self, address):
         """Discovery is elsewhere: a new follower, so that no version, line or link of the old passes over."""
@@ -77,7 +79,7 @@
         except ValueError as fault:
             self.note("configuration refused", why=str(fault))
         else:
-            self.tell(rd.CONFIGURED, place.discovery, place.told)
+            self.tell(rd.CONFIGURED, place.discovery, place.told, place.terms)
 
     def note(self, event, **fields):
         self.log.line(self.clock.now(), event, **fields)
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -12,6 +12,7 @@
 from pierglade import records as r
 from pierglade.choice import Node
 from pierglade.net import http
+from pierglade.terms import down, load_told
 
 # Events.
 (OPENED, BEGUN, ASKED, FAULTY, ANSWERED, CLIENT_ENDED, UP, REPLYING, REPLIED, LINK_ENDED, HEARD, NO_WORD,
@@ -20,9 +21,9 @@
     "link ended", "heard", "no word", "configured", "stop", "woke")
 UNDECIDED = frozenset((OPENED, BEGUN, ANSWERED, REPLYING))     # they tell the decisions nothing
 # Effects.
-ANSWER, LET_GO, END_CLIENT, CONNECT, WRITE, END_LINK, RELIST, MOVE, CLOSE_DOOR, EXIT, NOTE = (
-    "answer", "let go", "end client", "connect", "write", "end link", "relist", "move", "close door", "exit",
-    "note")
+ANSWER, LET_GO, END_CLIENT, CONNECT, WRITE, END_LINK, RELIST, ASK, MOVE, CLOSE_DOOR, EXIT, NOTE = (
+    "answer", "let go", "end client", "connect", "write", "end link", "relist", "ask", "move", "close door",
+    "exit", "note")
 
 # Constants. Times are tenths of a millisecond.
 NEVER = 1 << 62         # a moment that does not come
@@ -51,7 +52,8 @@
 TOLD_AFTER = 10000      # 1 s; what comes by hundreds is told of once in this time
 FIRST_WORD = 3000       # 0.3 s; with the list it was started with, a node waits so long for a newer one
 
-READY_PATH, LIVE_PATH = b"/health/ready", b"/health/live"
+READY_PATH, LIVE_PATH, STATS_PATH = b"/health/ready", b"/health/live", b"/stats"
+HINT = b"hintUs="      # in X-Props: how much work a request is
 STATES = {"SERVING": r.READY, "DRAINING": r.DRAINING, "DELETED": r.GONE}
 METHODS = {r.HARMLESS: b"GET", r.STAMPED: b"POST", r.ONE_SHOT: b"POST"}
 REPLACED = http.HOP_BY_HOP | {b"x-expires-in-ms"}           # headers of a request that are written anew
@@ -61,7 +63,7 @@
 KEPT_BACK = http.HOP_BY_HOP | {b"endpoint-load-metrics"}    # headers of an answer that are for the node
 
 # What of a configuration is read at the start only.
-FIXED = ("name", "listen", "limits", "settings")
+FIXED = ("name", "listen", "limits")
 
 # What a client's connection is doing.
 FRESH, IDLE, READING, OWED, WRITING, LINGERING, ENDED = (
@@ -107,7 +109,7 @@
 class Backend:
     """Where a backend is reached, and what is open to it."""
 
-    __slots__ = ("name", "address", "started", "state", "told", "idle", "links", "probed_on")
+    __slots__ = ("name", "address", "started", "state", "told", "idle", "links", "probed_on", "entry")
 
     def __init__(self, name, address, started):
         self.name, self.address, self.started = name, address, started
@@ -116,14 +118,13 @@
         self.idle = []          # the last one used last
         self.links = 0          # open ones, the idle included
         self.probed_on = None   # the link of a probe that has no result yet
+        self.entry = None       # what the list said last
 
 
 class Reducer:
     def __init__(self, seed, terms, now, sockets, discovery="", told=None):
-        self.terms = terms
-        self.node = Node(seed, terms, now)
-        self.offerings = {o.name.encode(): o for o in terms.offerings}
-        self.members = {m.name.encode(): m for m in terms.members}
+        self.seed, self.older = seed, []    # nodes under earlier settings that still owe something
+        self._serve_under(terms, now)
         self.sockets = sockets - SPARE
         # By what they are doing, in the order in which they came to it: who is to yield is the first of one.
         self.clients = {state: OrderedDict() for state in (FRESH, IDLE, READING, OWED, WRITING, LINGERING)}
@@ -131,11 +132,11 @@
         self.open = 0                   # connections, of both kinds
         self.ids = {}                   # of open invocations and of those just answered, to their client
         self.spent = deque()            # (until when it is kept, id) of the latter
-        self.forget = FORGET * max(o.hard_limit for o in terms.offerings)
         self.yielding = 0               # clients that were asked to make room
         self.carried = {}               # trip to its link
         self.backends = {}
         self.discovery, self.told = discovery, told or {}
+        self.settings = self.told.get("settings")
         self.index = None               # version of the list that discovery last told
         self.no_word = None             # why discovery is lost, noted once
         self.ready = False
@@ -152,6 +153,12 @@
             HEARD: self._heard, NO_WORD: self._no_word,
             CONFIGURED: self._configured, STOP: self._stop, WOKE: self._woke}
 
+    def _serve_under(self, terms, now):
+        self.terms, self.node = terms, Node(self.seed, terms, now)
+        self.offerings = {o.name.encode(): o for o in terms.offerings}
+        self.members = {m.name.encode(): m for m in terms.members}
+        self.forget = FORGET * max(o.hard_limit for o in terms.offerings)
+
     def apply(self, now, kind, *what, came=NEVER, idle=NEVER):
         """`came`: when what this is about may have come, if that was before the host got round to it; `idle`:
         when the host last had nothing to do."""
@@ -166,10 +173,10 @@
         return self.effects
 
     def wake(self, now):
-        wake = self.node.wake(now)
+        wakes = [wake for node in (*self.older, self.node) if (wake := node.wake(now)) is not None]
         if self.due:
-            wake = min(self.due[0][0], wake) if wake is not None else self.due[0][0]
-        return wake
+            wakes.append(self.due[0][0])
+        return min(wakes, default=None)
 
     def _do(self, kind, *what):
         self.effects.append((kind, *what))
@@ -307,7 +314,8 @@
         limit = self.came + left
         member = self.members.get(fields.get(b"x-customer"))
         repeat = fields.get(b"x-second-try") == b"1"
-        invocation = r.Invocation(client, offering, member, self.came, limit, repeat)
+        invocation = r.Invocation(client, offering, member, self.came, limit, repeat,
+                                  _hint(fields.get(b"x-props")), by=self.node)
         self._is(client, OWED, self.clients)
         client.invocation, client.id = invocation, name
         self.ids[name] = client
@@ -339,7 +347,7 @@
     def _overdue(self, client):
         """Guards against a fault of ours: whatever went wrong, the answer is out before the limit."""
         self._note("overdue")
-        self.node.abandoned(self.now, client.invocation)
+        client.invocation.by.abandoned(self.now, client.invocation)
         self._final(client.invocation, r.GIVE_UP)
 
     def _refuse(self, client, status, last=False, allow=None):
@@ -377,7 +385,7 @@
         if client.state is ENDED:
             return
         if client.invocation is not None:
-            self.node.abandoned(self.now, client.invocation)
+            client.invocation.by.abandoned(self.now, client.invocation)
         self._end_client(client, "answered last" if client.state is LINGERING else reason)
 
     def _end_client(self, client, reason):
@@ -447,7 +455,16 @@
 
     def _pull(self):
         """Carries out the decisions until there is none."""
-        node, now = self.node, self.now
+        for node in list(self.older):
+            self._pull_from(node)
+            if not (any(client.invocation.by is node for client in self.clients[OWED])
+                    or any(trip.invocation.by is node for trip in self.carried)):
+                self.older.remove(node)
+                self._note("earlier settings left")
+        self._pull_from(self.node)
+
+    def _pull_from(self, node):
+        now = self.now
         while (decision := node.decide(now)) is not None:
             kind, subject = decision
             if kind is r.SEND:
@@ -458,6 +475,8 @@
                     self._return(subject, r.CALLED_OFF)
             elif kind is r.PROBE:
                 self._probe(node.names[subject])
+            elif kind is r.ASK:
+                self._do(ASK)
             elif subject.mark.invocation is subject:
                 # Overdue in the turn in which this was decided, it has its answer, and must not get another.
                 self._final(subject, kind)
@@ -468,7 +487,7 @@
                    of_ms=(invocation.limit - invocation.arrived) / 10,
                    ends=[t.outcome for t in invocation.trips])
         if kind is r.BOUNCE:
-            wait = self.node.come_back_in(self.now)
+            wait = invocation.by.come_back_in(self.now)
             self._answer(invocation.mark, 503, [(b"Retry-After", b"%g" % (wait / 10000))] if wait else [])
         else:
             self._answer(invocation.mark, 504)
@@ -476,7 +495,7 @@
     def _return(self, trip, outcome, done=False):
         self.carried.pop(trip, None)
         # The node's own lateness is no latency of the backend's.
-        self.node.returned(self.now, trip, outcome, max(1, self.came - trip.sent), done)
+        trip.invocation.by.returned(self.now, trip, outcome, max(1, self.came - trip.sent), done)
 
     def _drop(self, trip, reason):
         """Nothing more is sent for the trip, and no answer is taken."""
@@ -487,7 +506,7 @@
 
     def _carry(self, trip):
         """A trip goes out on a kept link, or on a new one."""
-        backend = self.backends.get(self.node.names[trip.backend])
+        backend = self.backends.get(trip.invocation.by.names[trip.backend])
         if backend is None or self._past_grace(backend):
             return self._return(trip, r.TURNED_AWAY)
         # The last one used is used next, so that the rest grow old and are closed; but not at once.
@@ -553,7 +572,8 @@
         self._is(link, BUSY, self.links)
         self._watch(link)
         if link.probing:
-            head = http.request_head(b"GET", LIVE_PATH, [(b"Host", link.address.encode())], 0)
+            path = STATS_PATH if self._heeds(r.WITH_PROBES) else LIVE_PATH
+            head = http.request_head(b"GET", path, [(b"Host", link.address.encode())], 0)
             self._do(WRITE, link, head, b"")
         elif self._past_grace(link.backend):
             trip, link.trip = link.trip, None
@@ -586,8 +606,12 @@
         if link.state is not BUSY:
             return
         if link.probing:
+            if message.status == 200 and self._heeds(r.WITH_PROBES):
+                self._reported(link, message.body)
             self._probed(link, message.status == 200)
         else:
+            if self._heeds(r.WITH_ANSWERS):
+                self._reported(link, message.fields.get(b"endpoint-load-metrics", b""))
             trip, link.trip = link.trip, None
             # The client's own fault goes back to it; but 429 would say that nothing ran, which nobody knows.
             rejected = 400 <= message.status < 500 and message.status != 429
@@ -652,7 +676,16 @@
         link.state = ENDED
         self._do(END_LINK, link)
 
-    # Probes.
+    # Reports and probes.
+
+    def _heeds(self, reports):
+        """Whether load reports come so and a decision rests on them: each costs a node on its core."""
+        return self.terms.reports == reports and self.node.learns
+
+    def _reported(self, link, text):
+        load = load_told(bytes(text).decode("latin-1"))
+        if load is not None:
+            self.node.reported(self.now, link.backend.name, load)
 
     def _probe(self, name):
         backend = self.backends.get(name)
@@ -660,13 +693,17 @@
             return      # One at a time: a silent backend must not fill up with probes.
         link = self._open(backend)
         if link is None:
-            return self.node.probed(self.now, name, False, 0)
+            return self._tell_probed(name, False, 0)
         link.probing, backend.probed_on = True, link
         self._watch(link)
 
     def _probed(self, link, good):
         link.probing, link.backend.probed_on = False, None
-        self.node.probed(self.now, link.backend.name, good, self.now - link.since)
+        self._tell_probed(link.backend.name, good, self.now - link.since)
+
+    def _tell_probed(self, name, good, took):
+        for node in (*self.older, self.node):
+            node.probed(self.now, name, good, took)
 
     # The list.
 
@@ -701,9 +738,22 @@
         if why != self.no_word:
             self.no_word = why
             self._note("discovery lost", why=why)
-
-    def _configured(self, discovery, told):
-        """A new configuration: discovery is followed where it is now; the list is kept until it is heard."""
+        if self.terms.asks_list:
+            self.node.unlisted(self.now)
+
+    def _configured(self, discovery, told, terms=None):
+        """A new configuration: discovery is followed where it is now; the list is kept until it is heard.
+
+        New settings hold for what is taken from now on. What was taken before stays with the node that took
+        it, so that its rules hold to its end and nothing of it is lost or sent twice.
+        """
+        if terms is not None and told.get("settings") != self.settings:
+            self.settings = told.get("settings")
+            self.older.append(self.node)
+            self._serve_under(terms, self.now)
+            self.node.listed(self.now, [backend.entry for backend in self.backends.values()
+                                         if backend.state == r.READY], True)
+            self._note("settings loaded", owed=len(self.clients[OWED]))
         changed = {key for key in FIXED if told.get(key) != self.told.get(key)}
         self._note("configuration read", discovery=discovery, moved=discovery != self.discovery,
                    needs_restart=sorted(changed))
@@ -730,13 +780,15 @@
                 backend.address, backend.started = address, entry.started
                 self._end_idle(backend, "restarted")
                 changed.append((entry.name, "restarted"))
+            backend.entry = entry
             self._told(entry.name, backend, entry.state, changed)
         if whole:
             for name, backend in self.backends.items():
                 if name not in named:
                     self._told(name, backend, r.GONE, changed)
         self._forget_gone()
-        self.node.listed(self.now, listed, whole)
+        for node in (*self.older, self.node):
+            node.listed(self.now, listed, whole)
         if changed:
             self._note("list", index=document["index"], whole=whole, changed=changed)
 
@@ -791,7 +843,7 @@
         for client in [client for some in self.clients.values() for client in some]:
             if client.invocation is not None:
                 invocation = client.invocation
-                self.node.abandoned(self.now, invocation)
+                invocation.by.abandoned(self.now, invocation)
                 self._final(invocation, r.GIVE_UP)
             elif client.state is not WRITING:
                 self._end_client(client, "stopping")
@@ -813,6 +865,15 @@
         return self.effects
 
 
+def _hint(props):
+    """The work of a request as its X-Props tell it, 0 where they do not."""
+    for pair in (props or b"").split(b","):
+        figure = pair.strip().removeprefix(HINT)
+        if len(figure) < len(pair.strip()) and figure.isdigit() and len(figure) <= 9:
+            return down(figure)
+    return 0
+
+
 def _address(entry):
     host, _, port = entry["address"].rpartition(":")
     if not host or not 0 < int(port) < 65536:
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -117,6 +117,7 @@
     risky: "Trip | None" = None   # the first trip that may have run
     held: int = 0       # since when it has waited here with nothing out
     over: bool = False  # it has its final answer
+    by: object = None   # the host's own: the node that took it, under the settings of that moment
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -55,9 +55,10 @@
         self.now = end
         self.pull()
 
-    def take(self, name, offering=0, left=1000, member=None, repeat=False):
+    def take(self, name, offering=0, left=1000, member=None, repeat=False, hint=0):
         limit = self.now + left * MS
-        invocation = r.Invocation(name, self.terms.offerings[offering], member, self.now, limit, repeat)
+        invocation = r.Invocation(name, self.terms.offerings[offering], member, self.now, limit, repeat,
+                                  hint or 0)
         self.invocations[name] = invocation
         self.node.taken(self.now, invocation)
         self.pull()
@@ -95,6 +96,8 @@
                 self.say(f"send {subject.invocation.mark} to {self.node.names[subject.backend]}{trial}")
             elif kind is r.CALL_OFF:
                 self.say(f"call off {subject.invocation.mark} at {self.node.names[subject.backend]}")
+            elif kind is r.ASK:
+                self.say("ask for the list")
             elif kind is r.PROBE:
                 name = self.node.names[subject]
                 self.say(f"probe {name}")
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -47,6 +47,80 @@
             scene.after(1000)
         self.check("weights", [line.replace("1 went to", "to") for line in scene.lines])
 
+    def learner(self, **changed):
+        """A node of many whose members have no shares, and twelve backends."""
+        return Scene([f"b{n}" for n in range(12)], members=[], nodes=70, may_probe=False, **changed)
+
+    def stream(self, scene, seconds, every_ms, took=40, report=None, hint=None):
+        """Invocations at an even pace that all settle, each with its backend's report."""
+        lines, scene.lines = scene.lines, []
+        sent = bounced = 0
+        for n in range(int(seconds * 1000 / every_ms)):
+            invocation = scene.take("s", hint=hint[n % len(hint)] if hint else 0)
+            scene.after(every_ms)
+            for trip in invocation.trips:
+                if report:
+                    scene.node.reported(scene.now, scene.node.names[trip.backend], report)
+                scene.node.returned(scene.now, trip, r.SETTLED, took * MS, True)
+                scene.pull()
+            sent += bool(invocation.trips)
+            bounced += not invocation.trips
+        scene.lines = lines
+        node = scene.node
+        scene.say(f"{sent} sent, {bounced} not; {len(node.turn)} in view, part {node.part:.1f}, room "
+                  f"{node.room:.1f}, {'rests' if scene.now < node.rest_until else 'no rest'}")
+
+    def test_without_shares_view_and_part_follow_what_comes(self):
+        """Each node had the same part, and all backends in view: the busy bounced what there was room for."""
+        scene = self.learner(reports=r.WITH_ANSWERS)
+        load = r.Load(pace=30.0, busy=0.6)
+        scene.say("four a second, of 360 that the twelve report")
+        self.stream(scene, 10, 250, report=load)
+        scene.say("twenty-five a second")
+        self.stream(scene, 60, 40, report=load)
+        scene.say("half of the backends leave; the others have no room by their reports")
+        scene.list([listed(f"b{n}", r.GONE) for n in range(6)])
+        self.stream(scene, 10, 40, report=r.Load(pace=60.0, busy=1.0))
+        self.check("learned", scene.lines)
+
+    def test_what_is_slower_at_all_backends_rests_once_in_step(self):
+        """No report at all was taken for a spell of slowness, and the first seconds were bounced."""
+        scene = self.learner(reports=r.WITH_ANSWERS)
+        self.stream(scene, 8, 25)
+        self.stream(scene, 10, 25, report=r.Load(pace=30.0, busy=0.8))
+        scene.say("all at half of what they do")
+        for _ in range(9):
+            self.stream(scene, 1, 25, report=r.Load(pace=15.0, busy=0.95))
+        scene.say("well after the rest")
+        self.stream(scene, 4, 25, report=r.Load(pace=30.0, busy=0.8))
+        self.check("rest_in_step", scene.lines)
+
+    def test_heavy_work_is_no_pause_where_it_was_hinted(self):
+        """Heavy invocations were taken for a slow backend, and their answers for strain."""
+        lines = []
+        for hint in (None, 120):
+            scene = Scene(["b0", "b1", "b2"])
+            for n in range(60):
+                heavy = n % 20 > 14
+                invocation = scene.take("h", hint=hint and (hint * 6 if heavy else hint))
+                scene.after(240 if heavy else 40)
+                scene.end("h", note=False)
+            marks = [mark for mark in scene.node.trouble]
+            lines.append(f"hints {hint}: {marks}, typical {scene.node.table[0].typical / MS:.0f} ms, levels "
+                         + " ".join(f"{level:.2f}" for level in scene.node.level))
+        self.check("hints", lines)
+
+    def test_the_list_is_asked_for_later_each_time(self):
+        """Asked for again at once, a list that serves few at a time served none."""
+        scene = Scene(["b0"], asks_list=True)
+        for _ in range(4):
+            scene.node.unlisted(scene.now)
+            scene.after(7000)
+        scene.list(["b0"], whole=True)
+        scene.node.unlisted(scene.now)
+        scene.after(1000)
+        self.check("asks", scene.lines)
+
     def test_many_nodes_keep_few_in_view(self):
         lines, names = [], [f"b{n}" for n in range(12)]
         for number in (3, 4):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -199,7 +199,10 @@
         with tempfile.TemporaryDirectory() as folder:
             path = os.path.join(folder, "config.json")
             for text in ("{", "[]", {"name": "n"}, {**good, "settings": {}}, {**good, "listen": "here"},
-                         {**good, "seed": None}, {**good, "limits": {"sockets": "many"}}, good):
+                         {**good, "seed": None}, *({**good, "settings": {**SETTINGS, **wrong}} for wrong in (
+                             {"membershipMode": "often"}, {"loadInfo": {"via": "post"}}, {"siblings": 0},
+                             {"loadInfo": {"fields": "throughput"}}, {"me": -1},
+                             {"limits": {"probes": "yes"}})), {**good, "limits": {"sockets": "many"}}, good):
                 with open(path, "w") as file:
                     file.write(text if isinstance(text, str) else json.dumps(text))
                 try:
@@ -403,6 +406,38 @@
         lines += self.agent.seen + self.ask(b"GET /health/ready HTTP/1.1\r\n%s\r\n" % HOST)
         self.check("net_configured", lines)
 
+    def test_new_settings_are_loaded_and_taken_back_while_clients_ask(self):
+        """What is out when settings change comes to its one end; what cannot be used changes nothing."""
+        get = b"GET /look/%d HTTP/1.1\r\n" + HOST + b"X-Trace-Id: %d\r\n\r\n"
+        moved = {**SETTINGS, "customers": [], "siblings": 70, "membershipMode": "ask",
+                 "loadInfo": {"via": "piggyback", "fields": ["throughput", "utilization"]}}
+        wrong = {**moved, "loadInfo": {"via": "post"}}
+        lines, answers, asking = [], [], True
+
+        def client():
+            number = 0
+            while asking or number < 3:
+                number += 1
+                answers.extend(self.ask(get % (number, number)))
+
+        asker = threading.Thread(target=client, daemon=True)
+        asker.start()
+        for settings, until in ((moved, "configuration read"), (wrong, "configuration refused"),
+                                (SETTINGS, "configuration read")):
+            seen = len(self.backend.seen)
+            while len(self.backend.seen) < seen + 3:
+                time.sleep(0.001)
+            self.configure(json.dumps({**self.told, "settings": settings}))
+            self.node.send_signal(signal.SIGHUP)
+            told = self.events(until)
+            lines += [line["event"] + ("" if "why" not in line else ": " + line["why"].partition(": ")[2])
+                      for line in told if line["event"] in ("settings loaded", until)]
+        asking = False
+        asker.join(20)
+        lines.append(f"all settled {all(' 200 ' in line for line in answers)}, "
+                     f"each sent once {len(answers) == len(self.backend.seen) == len(set(self.backend.seen))}")
+        self.check("net_settings", lines)
+
     def test_serves_and_stops(self):
         get = b"GET /look/%s HTTP/1.1\r\n%sX-Trace-Id: %s\r\n\r\n"
         post = b"POST /pay%s HTTP/1.1\r\n%sX-Trace-Id: %s\r\nContent-Length: 4\r\n\r\nfive"
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -1,8 +1,9 @@
 """Short traces of a node's whole state: events in, effects out, no sockets."""
 
+from pierglade import records as r
 from pierglade.net import http
 from pierglade.net import reducer as rd
-from tests.scene import Desk, TraceTest, entry, message
+from tests.scene import Desk, TraceTest, entry, message, terms
 
 
 class Trips(TraceTest):
@@ -250,6 +251,60 @@
         self.check("node_configured", desk.lines)
 
 
+    def test_new_settings_while_trips_are_out(self):
+        """A node that was replaced at once lost what it held, and sent one-shots again under the new rules."""
+        desk = Desk(["b0", "b1"])
+        before, after = {"settings": 1}, {"settings": 2}
+        desk.reducer.settings = 1
+        shared = dict(members=[], nodes=70, reports=r.WITH_PROBES, gauges=("pace", "queue"))
+        desk.ask("c0", "/pay")
+        desk.up()
+        desk.tell(rd.CONFIGURED, "", after, terms(**shared))
+        desk.ask("c1")
+        desk.up()
+        desk.say("drains at both, and what is out comes to its one end under either settings")
+        desk.hear([entry("b0", "DRAINING")], 2, whole=False)
+        desk.lose(link=0)
+        desk.reply()
+        desk.say("the way back is the same step")
+        desk.ask("c2")
+        desk.tell(rd.CONFIGURED, "", before, terms())
+        desk.up()
+        desk.reply()
+        desk.after(200)
+        desk.ask("c3")
+        desk.reply()
+        desk.say(f"{len(desk.reducer.older)} nodes under earlier settings")
+        self.check("node_settings", desk.lines)
+
+    def test_reports_and_hints_are_heeded_where_a_decision_rests_on_them(self):
+        desk = Desk(["b0", "b1"], members=[], nodes=70, reports=r.WITH_ANSWERS, gauges=("pace", "busy"))
+        desk.ask("c0", headers="X-Props: item=a,hintUs=12000\r\n")
+        desk.say(f"hint {desk.clients['c0'].invocation.hint}")
+        desk.up()
+        desk.reply(headers="Endpoint-Load-Metrics: TEXT qps=40, util=0.6, other=x\r\n")
+        desk.say(f"pace {desk.reducer.node.told_pace}, busy {desk.reducer.node.told_busy}")
+        desk.after(10)
+        desk.ask("c1", headers="X-Props: hintUs=none\r\n")
+        desk.say(f"hint {desk.clients['c1'].invocation.hint}")
+        desk.up()
+        desk.reply(headers="Endpoint-Load-Metrics: TEXT qps=50, util=0.7\r\n")
+        desk.say(f"pace {desk.reducer.node.told_pace}, busy {desk.reducer.node.told_busy}")
+        self.check("node_reports", desk.lines)
+
+    def test_a_list_that_is_asked_for_is_asked_for_later_each_time(self):
+        """Asked for again at once, 70 nodes kept a list of 200 lines a second from serving any of them."""
+        desk = Desk(["b0", "b1"], asks_list=True)
+        desk.after(10)
+        for _ in range(5):
+            desk.tell(rd.NO_WORD, "down")
+            desk.after(8000)
+        desk.hear(["b0", "b1"], 3)
+        desk.tell(rd.NO_WORD, "down")
+        desk.after(8000)
+        self.check("node_asks", desk.lines)
+
+
 class Clients(TraceTest):
     def test_bad_requests(self):
         desk = Desk(["b0"])
