--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -66,7 +66,7 @@
 PROBES = 0.05           # probes for each trip, where only they tell the load
 FULL = 0.9              # share of cores in use; with less, there is room for more trips
 QUEUED = 1.0            # invocations that wait at a backend; with fewer, the same
-ROOM_MORE, ROOM_LESS, ROOM_MOST = 1.1, 0.95, 4.0    # times; the limit grows and shrinks by reports, look by look
+ROOM_MORE, ROOM_LESS, ROOM_MOST = 1.1, 0.95, 4.0    # times; how the limit grows by reports, look by look
 SHARED = 0.65           # of what backends usually do; less, of all alike, is no chance
 REST_FROM = 0.6         # share of cores in use; with less, backends have their rest already
 SURE_FOR = 20000        # 2 s; so long must it look so, as many spells pass within some seconds
@@ -81,6 +81,7 @@
 PART_LEAST, PART_MOST = 0.2, 20.0   # times the mean; a node's part of what all are asked for
 IN_VIEW_SEEN = 2500     # 0.25 s; the same by what comes to the node, which shares do not spread evenly
 FEWEST = 2              # backends; with fewer a node could lose all to one outage
+STEEP = 4               # power of the level in turns; nothing else evens out what few links bring by chance
 COLD_MARGIN = 0.5       # share of the cold budget used; the rest is for uneven nodes, machines and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
 OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
@@ -93,6 +94,7 @@
 NEVER = 1 << 62         # a moment that does not come
 FORGET = 2              # times the longest hard limit; then a gone backend's index is used again
 COMES_BACK = 20000      # 2 s; a client that was not settled asks again within this or not at all
+COME_SOON = 1000        # 0.1 s; the same where there is none, and what it found full may be free
 COME_BACK = 5000        # 0.5 s; advice to a bounced client under overload, the time a burst takes to pass
 
 # Why a backend takes trials only.
@@ -146,6 +148,7 @@
         self.asked = sum(member.per_second for member in terms.members) / terms.nodes / 10000
         self.asked_over = 0.0       # span over which the table's figures are seen, fading with them
         self.learns = not self.shares and terms.nodes > 1
+        self.steep = STEEP if self.learns else 1
         self.in_view = max(FEWEST, int(self.asked * IN_VIEW)) if self.shares or self.learns else None
         self.part = 1.0             # times the mean of all nodes that this one is asked for
         self.forget = FORGET * max(o.hard_limit for o in terms.offerings)
@@ -213,7 +216,7 @@
 
     def unlisted(self, now):
         """The list could not be had, or is followed no more: it is asked for again, later each time."""
-        # All nodes lose it at once, and at once they would ask: by chance apart, and seldom enough to be served.
+        # All nodes lose it at once, and at once they would ask: by chance apart, and seldom enough.
         self.ask_at = now + self.ask_gap // 2 + self.pick(self.ask_gap)
         self.ask_gap = min(ASK_GAP_MOST, self.ask_gap * 2)
         self._due(self.ask_at)
@@ -278,17 +281,15 @@
         self._draw_turn(now)
 
     def _look_for_shared(self, now, told):
-        """Slower all alike, at work that was borne before: some such spells end once the backends had a rest."""
-        if now < self.rest_until:
-            told = [b for b in told if self.usual_of[b] >= USUAL_FROM]
-            if sum(self.told_pace[b] for b in told) > WELL * sum(self.told_busy[b] * self.usual[b] for b in told):
-                self.rest_until = now
-            return
+        """Where all are slower alike, a rest of all: some such spells end by it."""
         told = [b for b in told if self.usual_of[b] >= USUAL_FROM]
         busy = sum(self.told_busy[b] for b in told)
         does = sum(self.told_pace[b] for b in told)
         usual = sum(self.told_busy[b] * self.usual[b] for b in told)
-        if not told or busy < REST_FROM * len(told) or does > SHARED * usual:
+        if now < self.rest_until:
+            if does > WELL * usual:
+                self.rest_until = now
+        elif not told or busy < REST_FROM * len(told) or does > SHARED * usual:
             self.slower_since = NEVER
         elif self.slower_since == NEVER:
             self.slower_since, self.room = now, 1.0
@@ -301,13 +302,13 @@
         b = self.index.get(name)
         if b is None or load.pace is None:
             return
-        old = self.told_pace[b]
-        self.told_pace[b] = load.pace if old is None else old + (load.pace - old) * TOLD
-        first = old is None
+        heed = 1 if self.told_pace[b] is None else TOLD
+        before = self.told_pace[b] or 0.0
+        self.told_pace[b] = before + (load.pace - before) * heed
         if load.queue is not None:
-            self.told_queue[b] += (load.queue - self.told_queue[b]) * (1 if first else TOLD)
+            self.told_queue[b] += (load.queue - self.told_queue[b]) * heed
         if load.busy is not None:
-            self.told_busy[b] += (load.busy - self.told_busy[b]) * (1 if first else TOLD)
+            self.told_busy[b] += (load.busy - self.told_busy[b]) * heed
             if self.told_busy[b] > BUSY_LEAST and self.rest_until <= now < self.slower_since:
                 does = self.told_pace[b] / self.told_busy[b]
                 self.usual_of[b] += 1
@@ -331,7 +332,7 @@
         row = self.table[o]
         row.asked += not invocation.repeat
         if invocation.hint:
-            # Few invocations cost what their offering does in the mean: unweighed, heavy ones look like queues.
+            # Few invocations cost what their offering does in the mean: unweighed, heavy ones look queued.
             row.hinted += (invocation.hint - row.hinted) * (TYPICAL if row.hinted else 1)
             invocation.cost = max(COST_LEAST, min(COST_MOST, invocation.hint / row.hinted))
         queue = self.held[o + invocation.repeat * len(self.table)]
@@ -491,8 +492,8 @@
         self.sweep_at = min(self.sweep_at, moment)
 
     def come_back_in(self, now):
-        """Advice to a bounced client; 0 where there is none to give."""
-        return min(COME_BACK, self.terms.retry_after) if self.overloaded else 0
+        """Advice to a bounced client; 0 where clients are told none."""
+        return min(COME_BACK if self.overloaded else COME_SOON, self.terms.retry_after)
 
     # What an invocation may still do.
 
@@ -530,7 +531,8 @@
         # One of hundreds of nodes cannot tell that there is room.
         room = not self.overloaded and len(self.turn) == len(self.ranked)
         times = CHANCE if room and not sure else HOPELESS
-        need = min(times * invocation.cost * self.table[offering.index].typical, HOPELESS_MOST * offering.expected)
+        need = min(times * invocation.cost * self.table[offering.index].typical,
+                   HOPELESS_MOST * offering.expected)
         return invocation.expected - max(HOPELESS_LEAST, int(need))
 
     def _after_loss(self, now, invocation, outcome):
@@ -625,7 +627,7 @@
             skip = self._skip(invocation, b, now)
             if skip is None:
                 # Even turns would overdrive the small machines at a load that the fleet can bear.
-                self.owed[b] += min(1.0, self.size[b] / (self.largest * self.level[b] ** (4.0 if self.learns else 1)))
+                self.owed[b] += min(1.0, self.size[b] / (self.largest * self.level[b] ** self.steep))
                 if self.owed[b] >= 1:
                     self.owed[b] -= 1
                     self.at = place + 1 if place + 1 < count else 0
@@ -852,8 +854,9 @@
         oldest = next(iter(trips))
         quiet = now - max(self.last_answer[b], oldest.sent)
         # A light one may wait behind heavy ones, and has no less patience for it.
-        cost = max(1.0, *(t.invocation.cost for t in trips), 1.0)
-        typical = max(GRAIN, cost * self.table[oldest.invocation.offering.index].typical * max(self.level[b], 1.0))
+        cost = max(1.0, *(t.invocation.cost for t in trips))
+        typical = cost * self.table[oldest.invocation.offering.index].typical * max(self.level[b], 1.0)
+        typical = max(GRAIN, typical)
         patience = typical * max(SILENT_LEAST, SILENT / len(trips))
         if quiet < patience:
             return min(int(now - quiet + patience) + 1, *(t.until for t in trips if t.outcome), NEVER)
@@ -933,8 +936,9 @@
                              (self.zone, None), (self.cell, None),
                              (self.started, 0), (self.left_at, now), (self.cold_until, 0),
                              (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
-                             (self.size, 0.0), (self.told_pace, None), (self.told_busy, 0.0), (self.told_queue, 0.0),
-                             (self.told_at, 0), (self.usual, 0.0), (self.usual_of, 0), (self.owed, self.pick(1000) / 1000),
+                             (self.size, 0.0), (self.owed, self.pick(1000) / 1000),
+                             (self.told_pace, None), (self.told_busy, 0.0), (self.told_queue, 0.0),
+                             (self.told_at, 0), (self.usual, 0.0), (self.usual_of, 0),
                              (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
                              (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
                              (self.relapses, 0),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -434,8 +434,8 @@
                       for line in told if line["event"] in ("settings loaded", until)]
         asking = False
         asker.join(20)
-        lines.append(f"all settled {all(' 200 ' in line for line in answers)}, "
-                     f"each sent once {len(answers) == len(self.backend.seen) == len(set(self.backend.seen))}")
+        once = len(answers) == len(self.backend.seen) == len(set(self.backend.seen))
+        lines.append(f"all settled {all(' 200 ' in line for line in answers)}, each sent once {once}")
         self.check("net_settings", lines)
 
     def test_serves_and_stops(self):
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -252,7 +252,7 @@
 
 
     def test_new_settings_while_trips_are_out(self):
-        """A node that was replaced at once lost what it held, and sent one-shots again under the new rules."""
+        """Replaced at once, a node would lose what it holds, or send a one-shot again under new rules."""
         desk = Desk(["b0", "b1"])
         before, after = {"settings": 1}, {"settings": 2}
         desk.reducer.settings = 1
