--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -160,8 +160,8 @@
         self.largest = 1.0
         self.slow_ones = 0
         # What is held and out.
-        # Heaps of (moment of the expected time, count, invocation): one an offering, then one for repeats.
-        self.held = [[] for _ in terms.offerings * 2]
+        # Heaps of (moment of the expected time, count, invocation), one an offering.
+        self.held = [[] for _ in terms.offerings]
         self.line = deque()         # the same in order of arrival, some already gone
         self.count = 0
         self.again = []             # invocations that wait for a further trip
@@ -319,8 +319,7 @@
         """An invocation has come in; from here on it is owed one final answer."""
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_SHARE)
         member = invocation.member
-        if member is not None and not invocation.repeat:
-            # Repeats of what was bounced must not make a member look greedy.
+        if member is not None:
             member.rate = member.rate * max(0.0, 1 - (now - member.seen) / RATE_SPAN) + 1
             member.seen = now
         # From when it came, not from when the host came to it: a node short of its core is overloaded too.
@@ -330,13 +329,12 @@
         # By expected time, not by arrival: a client's repeat has less time left than those taken before it.
         o = invocation.offering.index
         row = self.table[o]
-        row.asked += not invocation.repeat
+        row.asked += 1
         if invocation.hint:
             # Few invocations cost what their offering does in the mean: unweighed, heavy ones look queued.
             row.hinted += (invocation.hint - row.hinted) * (TYPICAL if row.hinted else 1)
             invocation.cost = max(COST_LEAST, min(COST_MOST, invocation.hint / row.hinted))
-        queue = self.held[o + invocation.repeat * len(self.table)]
-        heappush(queue, (invocation.expected, self.count, invocation))
+        heappush(self.held[o], (invocation.expected, self.count, invocation))
         self.line.append(invocation)
         self._due(now + SWEEP)
 
@@ -345,15 +343,12 @@
         offering, left = invocation.offering, invocation.limit - invocation.arrived
         row = self.table[offering.index]
         usual = row.usual_left
-        if not invocation.repeat:
-            # A vote, not the longest seen: some repeats come with more time than first tries do, and by these
-            # all first tries would look late.
-            row.usual_votes += 1 if abs(left - usual) <= USUAL * usual else -1
-            if row.usual_votes < 0:
-                row.usual_left, row.usual_votes = left, 1
-            row.usual_votes = min(row.usual_votes, VOTES_MOST)
-            if self.terms.marks_repeats:
-                return min(left, offering.expected)
+        # A vote, not the longest seen: some repeats come with more time than first tries do, and by these
+        # all first tries would look late.
+        row.usual_votes += 1 if abs(left - usual) <= USUAL * usual else -1
+        if row.usual_votes < 0:
+            row.usual_left, row.usual_votes = left, 1
+        row.usual_votes = min(row.usual_votes, VOTES_MOST)
         # Less time than first tries bring shows a late repeat, whose expected time may be over: worked on
         # before the others it would fill the fleet with answers worth nothing. There are no more of them than
         # were not settled: beyond that it is clients with less patience, who are turned away for nothing.
@@ -561,14 +556,13 @@
     # Holding.
 
     def _next_queue(self):
-        """First tries before repeats, whose time left is not known; next the offering that gains most."""
+        """In overload the offering that gains most; else whose expected time comes first."""
         best = least = None
         for place, queue in enumerate(self.held):
             while queue and queue[0][2].over:
                 heappop(queue)
             if queue:
-                row = self.table[place % len(self.table)]
-                rank = (place >= len(self.table), -self._gain(row) if self.overloaded else queue[0][0])
+                rank = -self._gain(self.table[place]) if self.overloaded else queue[0][0]
                 if best is None or rank < least:
                     best, least = queue, rank
         return best
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -313,8 +313,7 @@
             return self._answer(client, 503)
         limit = self.came + left
         member = self.members.get(fields.get(b"x-customer"))
-        repeat = fields.get(b"x-second-try") == b"1"
-        invocation = r.Invocation(client, offering, member, self.came, limit, repeat,
+        invocation = r.Invocation(client, offering, member, self.came, limit,
                                   _hint(fields.get(b"x-props")), by=self.node)
         self._is(client, OWED, self.clients)
         client.invocation, client.id = invocation, name
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -68,7 +68,6 @@
     may_cancel: bool
     may_probe: bool
     retry_after: int    # longest wait that clients follow; 0 where they are told none
-    marks_repeats: bool # clients mark their repeats
     cold_for: int
     cold_from: float
     tip_multiple: float
@@ -108,7 +107,6 @@
     member: Member | None
     arrived: int
     limit: int          # the moment at which the client gives up
-    repeat: bool = False
     hint: int = 0       # how much work it is, as far as whoever sent it can tell; 0: not told
     cost: float = 1.0   # that over the mean of its offering
     expected: int = 0   # the moment of its expected time, as the node judges it
--- a/pierglade/terms.py
+++ b/pierglade/terms.py
@@ -73,7 +73,6 @@
         most_trips=limits.get("mostTrips") or 1, may_cancel=bool(limits.get("mayCancel")),
         may_probe=_flag(settings, "limits", "probes"),
         retry_after=down(limits.get("maxRetryAfterUs") or 0) if limits.get("retryAfter") else 0,
-        marks_repeats=bool((settings.get("clientHabits") or {}).get("marksRetry")),
         cold_for=up(contract.get("coldUs") or 0),
         cold_from=float(contract.get("startCapacity") or 1),
         tip_multiple=float(contract.get("tipMultiple") or 1),
