--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -147,7 +147,8 @@
         self.shares = any(member.per_second for member in terms.members)
         self.asked = sum(member.per_second for member in terms.members) / terms.nodes / 10000
         self.asked_over = 0.0       # span over which the table's figures are seen, fading with them
-        self.learns = not self.shares and terms.nodes > 1
+        # Without a word of what others are asked for, rounds of trips find the room (docs/notes/limit.md).
+        self.learns = bool(not self.shares and terms.nodes > 1 and terms.reports)
         self.steep = STEEP if self.learns else 1
         self.in_view = max(FEWEST, int(self.asked * IN_VIEW)) if self.shares or self.learns else None
         self.part = 1.0             # times the mean of all nodes that this one is asked for
