--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -76,7 +76,7 @@
     idle_for: int = IDLE_FOR                # backends close a connection that was idle for this long
     drain_grace: int = 0    # how long new trips to a draining or gone backend are still allowed
     asks_list: bool = False # the list comes only once it was asked for
-    reports: str | None = None  # WITH_ANSWERS, WITH_PROBES, or None where backends tell nothing of their load
+    reports: str | None = None  # WITH_ANSWERS, WITH_PROBES, or None where they tell no pace
     gauges: tuple = ()          # what a report holds, in order: names of fields of Load, None where not used
 
 
--- a/pierglade/terms.py
+++ b/pierglade/terms.py
@@ -25,35 +25,31 @@
     """A setting that cannot be used, named by its place."""
 
 
-def _one_of(known, settings, *place):
-    """The setting at that place, absent or one of the known."""
-    for key in place:
-        settings = (settings or {}).get(key)
-    if settings is not None and settings not in known:
-        raise Wrong(f"settings.{'.'.join(place)} is {settings!r}, none of {', '.join(known)}")
-    return settings
+def _checked(settings, place, fits, what, absent):
+    """The setting at that place, such as "limits.probes"; `what` it is not, if it does not fit."""
+    value = settings
+    for key in place.split("."):
+        if not isinstance(value, dict):
+            raise Wrong(f"settings.{place} stands in {value!r}, no object")
+        value = value.get(key)
+        if value is None:
+            return absent
+    if not fits(value):
+        raise Wrong(f"settings.{place} is {value!r}, {what}")
+    return value
 
 
-def _flag(settings, *place):
-    for key in place:
-        settings = (settings or {}).get(key)
-    if settings is not None and type(settings) is not bool:
-        raise Wrong(f"settings.{'.'.join(place)} is {settings!r}, neither true nor false")
-    return bool(settings)
+def _one_of(known, settings, place):
+    return _checked(settings, place, lambda value: value in list(known), f"none of {', '.join(known)}", None)
 
 
-def _count(settings, key, least):
-    value = settings.get(key)
-    if value is not None and (type(value) is not int or value < least):
-        raise Wrong(f"settings.{key} is {value!r}, no whole number from {least} on")
-    return value or least
+def _count(settings, place, least):
+    return _checked(settings, place, lambda value: type(value) is int and value >= least,
+                    f"no whole number from {least} on", least)
 
 
-def _fields(told):
-    fields = told.get("fields") or []
-    if not isinstance(fields, list) or not all(isinstance(field, str) for field in fields):
-        raise Wrong(f"settings.loadInfo.fields is {fields!r}, no list of names")
-    return fields
+def _names(value):
+    return isinstance(value, list) and all(isinstance(name, str) for name in value)
 
 
 def terms_from(settings):
@@ -65,13 +61,16 @@
         for i, o in enumerate(settings["offerings"])]
     members = [r.Member(m["name"], float(m.get("quotaPerS") or 0)) for m in settings.get("customers") or []]
     limits, contract = settings["limits"], settings["contract"]
-    told = settings.get("loadInfo") or {}
+    reports = REPORTS[_one_of(REPORTS, settings, "loadInfo.via") or "silent"]
+    fields = _checked(settings, "loadInfo.fields", _names, "no list of names", [])
+    gauges = tuple(GAUGES.get(field) for field in fields)
     goal = {k: v for k, v in (settings.get("goal") or {}).items() if k != "tailMiss"}
     return r.Terms(
         offerings=offerings, members=members, number=_count(settings, "me", 0),
         nodes=_count(settings, "siblings", 1),
         most_trips=limits.get("mostTrips") or 1, may_cancel=bool(limits.get("mayCancel")),
-        may_probe=_flag(settings, "limits", "probes"),
+        may_probe=_checked(settings, "limits.probes", lambda value: type(value) is bool,
+                           "neither true nor false", False),
         retry_after=down(limits.get("maxRetryAfterUs") or 0) if limits.get("retryAfter") else 0,
         cold_for=up(contract.get("coldUs") or 0),
         cold_from=float(contract.get("startCapacity") or 1),
@@ -81,8 +80,8 @@
         idle_for=down(limits.get("connIdleUs") or r.IDLE_FOR * 100),
         drain_grace=down(contract.get("drainGraceUs") or 0),
         asks_list=_one_of(("push", "ask"), settings, "membershipMode") == "ask",
-        reports=REPORTS[_one_of(tuple(REPORTS), settings, "loadInfo", "via") or "silent"],
-        gauges=tuple(GAUGES.get(field) for field in _fields(told)))
+        # Where they tell no pace nothing rests on them, and reading each would cost for nothing.
+        reports=reports if "pace" in gauges else None, gauges=gauges)
 
 
 def load_from(gauges, figures):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -110,16 +110,20 @@
                          + " ".join(f"{level:.2f}" for level in scene.node.level))
         self.check("hints", lines)
 
-    def test_the_list_is_asked_for_later_each_time(self):
-        """Asked for again at once, a list that serves few at a time served none."""
-        scene = Scene(["b0"], asks_list=True)
-        for _ in range(4):
-            scene.node.unlisted(scene.now)
-            scene.after(7000)
-        scene.list(["b0"], whole=True)
-        scene.node.unlisted(scene.now)
-        scene.after(1000)
-        self.check("asks", scene.lines)
+    def test_cold_backends_get_their_part_of_what_is_settled(self):
+        """By what was asked for, a cold one got 4.5 times what it could do, and fell over."""
+        lines = []
+        for settled in (0, 1):
+            scene = self.learner(reports=r.WITH_ANSWERS)
+            for n in range(200):
+                invocation = scene.take("s", left=400)
+                scene.after(40)
+                for trip in invocation.trips * settled:
+                    scene.node.returned(scene.now, trip, r.SETTLED, 40 * MS, True)
+            scene.list(["b12"])
+            lines.append(f"asked {scene.node.asked * 10000:.0f} a second, a warm one gets "
+                         f"{scene.node.warm_pace * 10000:.1f} by what was settled")
+        self.check("cold_settled", lines)
 
     def test_many_nodes_keep_few_in_view(self):
         lines, names = [], [f"b{n}" for n in range(12)]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -202,12 +202,16 @@
                          {**good, "seed": None}, *({**good, "settings": {**SETTINGS, **wrong}} for wrong in (
                              {"membershipMode": "often"}, {"loadInfo": {"via": "post"}}, {"siblings": 0},
                              {"loadInfo": {"fields": "throughput"}}, {"me": -1},
-                             {"limits": {"probes": "yes"}})), {**good, "limits": {"sockets": "many"}}, good):
+                             {"limits": {"probes": "yes"}}, {"loadInfo": []},
+                             {"loadInfo": {"via": "pull", "fields": ["utilization"]}},
+                             {"loadInfo": {"via": "pull", "fields": ["throughput"]}})),
+                         {**good, "limits": {"sockets": "many"}}, good):
                 with open(path, "w") as file:
                     file.write(text if isinstance(text, str) else json.dumps(text))
                 try:
                     place = start.place_from({"BALANCER_CONFIG": path, "BALANCER_NAME": "n3"})
-                    lines.append(f"{place.name} {place.listen} {place.sockets} {place.terms.drain_grace}")
+                    lines.append(f"{place.name} {place.listen} {place.sockets} {place.terms.drain_grace} "
+                                 f"{place.terms.reports}")
                 except start.Unusable as fault:
                     lines.append(str(fault).replace(path, "config"))
         self.check("net_unusable", lines)
@@ -279,6 +283,28 @@
         self.check("net_following", [line for line, _ in itertools.groupby(lines)])
 
 
+    def test_a_lost_list_is_asked_for_when_the_decisions_say_so(self):
+        """Asked again every 0.2 s by each of many nodes, a list that has to be asked served none."""
+        told, lost = [], Event()
+
+        def tell(kind, what):
+            told.append(kind)
+            lost.set()
+
+        peer = Peer(lambda message: None)
+        with mock.patch.object(discovery, "AGAIN", 0):
+            watch = discovery.Discovery(peer.address, mock.Mock(tell=tell))
+            watch.waits = lambda: True
+            running = gevent.spawn(watch.run)
+            for _ in range(3):
+                lost.wait()
+                lost.clear()
+                gevent.sleep(0)
+                told.append(f"asked {len(peer.seen)}")
+                watch.ask()
+            running.kill()
+        self.check("net_asked", told)
+
     def test_nothing_of_a_place_that_was_left_is_told(self):
         """A line that was read before the move must not stand in the list of the new place."""
         told = []
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -292,6 +292,25 @@
         desk.say(f"pace {desk.reducer.node.told_pace}, busy {desk.reducer.node.told_busy}")
         self.check("node_reports", desk.lines)
 
+    def test_one_probe_to_twenty_trips_brings_the_report(self):
+        desk = Desk(["b0", "b1"], members=[], nodes=70, reports=r.WITH_PROBES, gauges=("pace", "queue"))
+        for n in range(21):
+            desk.lines = []
+            desk.ask("c0")
+            trip = next(iter(desk.reducer.carried))
+            link = desk.reducer.carried[trip]
+            desk.tell(rd.UP, link)
+            desk.tell(rd.REPLIED, link, message(b"HTTP/1.1 200 .\r\nContent-Length: 0\r\n\r\n", http.Answers))
+            desk.taken("c0")
+            desk.after(10)
+            if any(link.probing for link in desk.links):
+                break
+        desk.up()
+        answer = b"HTTP/1.1 200 .\r\nContent-Length: 20\r\n\r\nTEXT qps=30, queue=2"
+        desk.tell(rd.REPLIED, desk.links[-1], message(answer, http.Answers))
+        desk.say(f"pace {desk.reducer.node.told_pace}, queue {desk.reducer.node.told_queue}")
+        self.check("node_stats", desk.lines)
+
     def test_a_list_that_is_asked_for_is_asked_for_later_each_time(self):
         """Asked for again at once, 70 nodes kept a list of 200 lines a second from serving any of them."""
         desk = Desk(["b0", "b1"], asks_list=True)
