--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -12,7 +12,7 @@
 from collections import deque
 from hashlib import blake2b
 from heapq import heappop, heappush
-from math import log
+from math import exp, log, sqrt
 
 from pierglade.limit.room import Room
 from pierglade.records import (
@@ -42,7 +42,8 @@
 BY_CHANCE = 0.0005      # share; where losses are common, as many in a row as are rarer than this by chance
 LOST_LEAST, LOST_MOST = 0.001, 0.5  # shares lost; rarer is not seen within minutes, half is no chance
 COMMON = 1 / 64         # share of a new outcome in what backends that are well lose; half a second's worth
-SILENT = 6.0            # times typical, summed over the trips out; chance silence is rarer
+SILENT = 6.0            # times typical, summed over the trips out; chance silence is rarer if work is alike
+RARE = 3.3              # standard deviations of the work, over the trips out; the same where it is not
 SILENT_LEAST = 2.5      # times typical; one slow service must not look silent however many wait behind it
 TRIAL_GAP, TRIAL_GAP_MOST = 1500, 40000   # 150 ms, 4 s; between trials, doubled after each bad one
 CROWD = 1.0             # times the mean in flight; far more than chance piles up on one backend
@@ -73,7 +74,8 @@
 REST_EACH, REST_IN = 60000, 10000   # 6 s, 1 s; rests begin at multiples of the one, within the other
 REST_FOR, REST_AGAIN = 50000, 110000    # 5 s, 11 s; a rest, and from its start to another
 REST_PART = 0.2         # of the limit; cores are then less than half in use
-ASK_GAP, ASK_GAP_MOST = 5000, 40000     # 0.5 s, 4 s; in the mean until the list is asked for again, doubled
+ASK_GAP, ASK_GAP_MOST = 5000, 160000    # 0.5 s, 16 s; in the mean until the list is asked for again, doubled
+ASK_EACH = 500          # 50 ms; as long between the first calls of all nodes
 COST_LEAST, COST_MOST = 0.25, 4.0   # times the mean; hints are not to be trusted beyond
 SOME = 1e-5             # 0.1 a second; a node that nothing has come to yet is asked for that much
 SEEN_LEAST = 5000       # 0.5 s; what came in less is luck
@@ -110,6 +112,7 @@
         self.credit = offering.credit
         # Smoothed latency. A first answer alone is a poor guide: by a very quick one all would look silent.
         self.typical = FIRST_TYPICAL * offering.expected
+        self.skew = 0.0         # log of the mean answer over the usual one, half the variance of that log
         self.hinted = 0.0       # smoothed hint of the work
         self.answers = 2        # how many that rests on; the first guess counts as two
         self.asked = 0.0        # first tries taken lately
@@ -143,7 +146,7 @@
         self.usual, self.usual_of, self.told_queue = [], [], []
         self.work, self.samples, self.sums, self.window = [], [], [], []
         self.pauses, self.mean_pause, self.work_due, self.forecast = [], [], [], []
-        # The rotation: the first of the ready backends by rank, as many as this node can keep in view.
+        # The rotation: from the ring of ready backends, as many as this node can keep in view.
         self.shares = any(member.per_second for member in terms.members)
         self.asked = sum(member.per_second for member in terms.members) / terms.nodes / 10000
         self.asked_over = 0.0       # span over which the table's figures are seen, fading with them
@@ -176,7 +179,8 @@
         self.flying, self.ailing = {}, {}       # backends with trips out, and those in trouble
         self.sweep_at, self.swept = NEVER, now
         self.see_at = now
-        self.ask_at, self.ask_gap = (now if terms.asks_list else NEVER), ASK_GAP
+        self.first_gap = self.ask_gap = min(ASK_GAP_MOST, max(ASK_GAP, ASK_EACH * terms.nodes))
+        self.ask_at = now if terms.asks_list else NEVER
         self._due(self.ask_at)
         self.slower_since, self.rest_until, self.rest_again = NEVER, 0, 0
         self.room, self.seen_at, self.unprobed = 1.0, now, 0.0
@@ -185,8 +189,8 @@
 
     def listed(self, now, entries, whole):
         """The list's word on all backends, or on the changed ones."""
-        if self.ask_at == NEVER:
-            self.ask_gap = ASK_GAP
+        # Not at once: a call that still waits its turn has its first line, and may yet come to nothing.
+        self.ask_gap = max(self.first_gap, self.ask_gap // 2)
         if whole:
             named = {e.name for e in entries}
             for name, b in self.index.items():
@@ -209,7 +213,7 @@
                 self.started[b] = e.started
                 self.cold_until[b] = e.started + self.terms.cold_for
                 self.allowance[b], self.allowed_at[b] = self.pick(1000) / 1000, now
-                self._forget_history(b)
+                self._forget_history(b, now)
             if self.state[b] != READY:
                 self.state[b] = READY
                 insort(self.ranked, b, key=self.rank.__getitem__)
@@ -223,13 +227,15 @@
         self._due(self.ask_at)
 
     def _draw_turn(self, now):
-        """The rotation runs over the first by rank until enough of them are sound; it starts at random."""
+        """The rotation runs over as many of the ring as are enough sound ones; it starts at random."""
         before, after = self.turn, []
         sound, size = 0, 0.0
         total = sum(map(self.size.__getitem__, self.ranked))
         enough = self.in_view and self.in_view * total
         self.redraw_at = NEVER
-        for b in self.ranked:
+        # All nodes go evenly round one ring: drawn by chance, some backends were seen by two thirds more nodes.
+        begin = len(self.ranked) * self.terms.number // self.terms.nodes
+        for b in self.ranked[begin:] + self.ranked[:begin]:
             if enough is not None and size * len(self.ranked) >= enough:
                 break
             after.append(b)
@@ -720,6 +726,7 @@
                 self.lost = max(LOST_LEAST, self.lost * (1 - COMMON))
                 row.answers += 1
                 row.typical += (alike - row.typical) * max(TYPICAL, 1 / row.answers)
+                row.skew = max(0.0, row.skew - (log(ratio) + row.skew) * max(TYPICAL, 1 / row.answers))
                 self.level[b] += (ratio - self.level[b]) * heed
                 self._sample(b, now)
                 offering = trip.invocation.offering
@@ -850,9 +857,11 @@
         quiet = now - max(self.last_answer[b], oldest.sent)
         # A light one may wait behind heavy ones, and has no less patience for it.
         cost = max(1.0, *(t.invocation.cost for t in trips))
-        typical = cost * self.table[oldest.invocation.offering.index].typical * max(self.level[b], 1.0)
-        typical = max(GRAIN, typical)
-        patience = typical * max(SILENT_LEAST, SILENT / len(trips))
+        row = self.table[oldest.invocation.offering.index]
+        typical = max(GRAIN, cost * row.typical * max(self.level[b], 1.0))
+        # A node with few trips has one out at a time: by the mean alone each heavy one is taken for silence.
+        heavy = exp(RARE / len(trips) * sqrt(2 * row.skew) - row.skew)
+        patience = typical * max(SILENT_LEAST, SILENT / len(trips), heavy)
         if quiet < patience:
             return min(int(now - quiet + patience) + 1, *(t.until for t in trips if t.outcome), NEVER)
         if self.trouble[b] is not SILENCE:
@@ -926,31 +935,30 @@
         if b < len(self.names):
             del self.index[self.names[b]]
             self.ailing.pop(b, None)    # What ailed the one before must not cost the new one probes.
-        rank = blake2b(f"{self.terms.number} {name}".encode(), digest_size=8).digest()
-        for array, first in ((self.names, name), (self.rank, rank), (self.state, GONE),
-                             (self.zone, None), (self.cell, None),
-                             (self.started, 0), (self.left_at, now), (self.cold_until, 0),
+        rank = blake2b(name.encode(), digest_size=8).digest()
+        for array, first in ((self.names, name), (self.rank, rank), (self.state, GONE), (self.zone, None),
+                             (self.cell, None), (self.started, 0), (self.left_at, now), (self.cold_until, 0),
                              (self.allowance, 0.0), (self.allowed_at, now), (self.out, None),
-                             (self.size, 0.0), (self.owed, self.pick(1000) / 1000),
-                             (self.told_pace, None), (self.told_busy, 0.0), (self.told_queue, 0.0),
-                             (self.told_at, 0), (self.usual, 0.0), (self.usual_of, 0),
-                             (self.last_answer, 0), (self.quick, 1.0), (self.level, 1.0),
-                             (self.errors, 0.0), (self.trouble, None), (self.since, 0), (self.until, 0),
-                             (self.relapses, 0),
-                             (self.trial_at, 0), (self.trial_gap, TRIAL_GAP), (self.trial_due, False),
-                             (self.trials_out, 0), (self.work, 0), (self.samples, None),
-                             (self.sums, None),
+                             (self.size, 0.0), (self.owed, self.pick(1000) / 1000), (self.told_pace, None),
+                             (self.told_busy, 0.0), (self.told_queue, 0.0), (self.told_at, 0),
+                             (self.usual, 0.0), (self.usual_of, 0), (self.last_answer, 0), (self.quick, 1.0),
+                             (self.level, 1.0), (self.errors, 0.0), (self.trouble, None), (self.since, 0),
+                             (self.until, 0), (self.relapses, 0), (self.trial_at, 0),
+                             (self.trial_gap, TRIAL_GAP), (self.trial_due, False), (self.trials_out, 0),
+                             (self.work, 0), (self.samples, None), (self.sums, None),
                              (self.window, WINDOW_MEDIUM), (self.pauses, None),
-                             (self.mean_pause, FIRST_PAUSE), (self.work_due, None),
-                             (self.forecast, None)):
+                             (self.mean_pause, FIRST_PAUSE), (self.work_due, None), (self.forecast, None)):
             array[b:b + 1] = [first]    # appends where b is new
         self.out[b] = {}
         self.index[name] = b
-        self._forget_history(b)
+        self._forget_history(b, now)
         return b
 
-    def _forget_history(self, b):
-        """A process that has started anew pauses anew."""
+    def _forget_history(self, b, now):
+        """A process that has started anew pauses anew, and what ailed the one before is not its own."""
+        if self.trouble[b] is not None:
+            self._mark(b, None, now)
+        self.errors[b], self.relapses[b], self.quick[b] = 0.0, 0, 1.0
         self.work[b], self.samples[b], self.sums[b] = 0, deque(), [0, 0, 0, 0]
         self.pauses[b], self.work_due[b], self.forecast[b] = deque(maxlen=PAUSES_KEPT), None, None
         self.window[b], self.mean_pause[b] = WINDOW_MEDIUM, FIRST_PAUSE
--- a/pierglade/net/discovery.py
+++ b/pierglade/net/discovery.py
@@ -11,8 +11,10 @@
 
 LIST_PATH = b"/registry/instances"
 ANSWER_IN = 1.0     # s; the agent is on this machine and answers at once
+ASKED_IN = 4.0      # s; where the list must be asked for calls wait in line; one given up is answered in vain
+BUSY = (429, 503)   # what is asked for is not to be had now; the version stays good
 SILENT = 4.5        # s; over two heartbeats of 2 s
-ASKED_WITHIN = 8.0  # s; the decisions say within 6 s when to ask again
+ASKED_WITHIN = 25.0 # s; the decisions say within 24 s when to ask again
 AGAIN = 0.2         # s; between tries; what is not heard within 6 s counts as told all the same
 READ = 16384        # bytes read at once
 LINE_MOST = 1 << 20     # bytes of a line; thousands of entries
@@ -38,12 +40,20 @@
     def feed(self, data):
         """The lines that are whole with this; empty ones are heartbeats."""
         self.lines = []
-        self.parser.feed_data(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as fault:
+            # Taken for an answer that cannot be read, a watch refused by a busy discovery would cost the
+            # version, and each node would ask for the whole list, which keeps it overbooked.
+            raise fault.__context__ from None
         return self.lines
 
     def on_headers_complete(self):
-        if self.parser.get_status_code() != 200:
-            raise Lost(f"status {self.parser.get_status_code()}")
+        status = self.parser.get_status_code()
+        if status in BUSY:
+            raise Lost(f"status {status}")
+        if status != 200:
+            raise ValueError(f"status {status}")    # It may not know the version any more.
 
     def on_body(self, body):
         *lines, rest = body.split(b"\n")
@@ -53,18 +63,18 @@
         self.pending.append(rest)
         self.size += len(rest)
         if self.size > LINE_MOST:
-            raise Lost("line too long")
+            raise ValueError("line too long")
 
     def on_message_complete(self):
         self.over = True
 
 
 class Discovery:
-    def __init__(self, address, host):
+    def __init__(self, address, host, index=None):
         name, _, port = address.rpartition(":")
         self.address, self.place = address, (name, int(port))
         self.host = host
-        self.index = None   # version to follow from; None: the whole list is wanted
+        self.index = index  # version to follow from; None: the whole list is wanted
         self.sock = None
         self.left = False
         self.waits = lambda: False      # whether the decisions say when to ask again
@@ -113,7 +123,7 @@
 
     def _ask(self, path):
         self.sock = socket.socket()
-        self.sock.settimeout(ANSWER_IN)
+        self.sock.settimeout(ASKED_IN if self.waits() else ANSWER_IN)
         self.sock.connect(self.place)
         sending.set_up(self.sock)
         self.sock.sendall(request_head(b"GET", path, [(b"Host", self.address.encode())], 0))
--- a/pierglade/net/host.py
+++ b/pierglade/net/host.py
@@ -25,13 +25,14 @@
         self.clock = Clock()
         self.log = Log(sys.stdout.fileno(), place.name)
         self.door = Door(place.listen, self)
-        self.follow(place.discovery)
         self.done = Event()
         self.timer = Timer(self.clock, self._woke)
         sockets = place.sockets - len(os.listdir("/proc/self/fd"))
         self.reducer = rd.Reducer(place.seed, place.terms, self.clock.now(), sockets, place.discovery,
                                   place.told)
         self.reducer.known(place.known)
+        # From the version that is known: forty whole lists at once are more than a discovery sends in seconds.
+        self.follow(place.discovery, self.reducer.index)
         self.inbox, self.working = deque(), False
         self.turns = Turns(self.clock)
         self.carriers = {
@@ -62,8 +63,8 @@
         self.log.flush()
         return 0
 
-    def follow(self, address):
-        self.discovery = Discovery(address, self)
+    def follow(self, address, index=None):
+        self.discovery = Discovery(address, self, index)
         self.discovery.waits = lambda: self.reducer.terms.asks_list
 
     def _move(self, address):
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -710,6 +710,8 @@
         """The list that the node was started with, which may be old."""
         if document and document.get("endpoints"):
             self._apply_list(document, whole=True)
+            if type(document.get("index")) is int:
+                self.index = document["index"]
             self._at(self.now + FIRST_WORD, self._word_is_late, None)
 
     def _word_is_late(self, _):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -175,6 +175,42 @@
                   f"pauses known: {len(scene.node.pauses[scene.node.index['b1']])}")
         self.check("hang", scene.lines)
 
+    def test_a_heavy_one_alone_is_no_silence(self):
+        """One of forty nodes has one trip out at a backend: judged by the mean alone, it held a third of the
+        backends for silent at any time, where nothing was wrong."""
+        chance, told = random.Random(9), []
+        for spread in (1.2, 0.1):
+            scene = Scene([f"b{n}" for n in range(4)])
+            silent = 0
+            for _ in range(600):
+                invocation = scene.take("i")
+                for _ in range(int(min(990, 20 * chance.lognormvariate(-spread ** 2 / 2, spread)))):
+                    scene.after(1)
+                if invocation.out:
+                    scene.end("i", note=False)
+                silent += bool(scene.node.ailing)
+                scene.after(100)
+            # Where work is alike, six times the mean is still silence.
+            scene.take("gone")
+            scene.after(150)
+            told.append(f"spread {spread}: a backend was left out after {silent} of 600 answers; "
+                        f"150 ms without one: {[t for t in scene.node.trouble if t]}")
+        self.check("heavy", told)
+
+    def test_a_restarted_backend_is_well_at_once(self):
+        """A zone that came back was left out for seconds by each node for what its old processes had done."""
+        scene = Scene(["b0", "b1"])
+        for n in range(4):
+            scene.take(f"i{n}")
+            at_b1 = scene.node.names[scene.invocations[f"i{n}"].trips[-1].backend] == "b1"
+            scene.end(f"i{n}", r.UNREACHABLE if at_b1 else r.SETTLED)
+        scene.flow(4)
+        scene.list([listed("b1", r.GONE)])
+        scene.list([listed("b1", started=scene.now)])
+        scene.after(300)
+        scene.flow(6)
+        self.check("restarted_well", scene.lines)
+
     def test_quick_errors_do_not_attract_work(self):
         scene = Scene(["b0", "b1", "b2"])
         scene.flow(12)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -130,9 +130,9 @@
         for n in range(len(data)):
             lines += watch.feed(data[n:n + 1])
         self.assertEqual((lines, watch.over), ([b'{"a":1}', b"{", b"", b"}"], True))
-        with self.assertRaises(Exception) as raised:
-            discovery.Watch().feed(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
-        self.assertIsInstance(raised.exception.__context__, discovery.Lost)
+        for status, fault in ((503, discovery.Lost), (410, ValueError)):
+            with self.assertRaises(fault):
+                discovery.Watch().feed(b"HTTP/1.1 %d No\r\nContent-Length: 0\r\n\r\n" % status)
 
     def test_log_is_never_waited_for(self):
         """A pipe that nobody reads must not stop the node; what was lost is counted once it is read again."""
@@ -305,6 +305,24 @@
             running.kill()
         self.check("net_asked", told)
 
+    def test_a_refused_watch_keeps_the_version(self):
+        """Each node that asked for the whole list again, in place of the changes, kept discovery overbooked."""
+        refused = iter((503, 429, 503, 410))
+        done = Event()
+
+        def serve(message):
+            if b"follow" not in message.url:
+                return answer(200, b'{"index":7}')
+            return answer(next(refused, None) or done.set() or 503)
+
+        peer = Peer(serve)
+        with mock.patch.object(discovery, "AGAIN", 0):
+            running = gevent.spawn(discovery.Discovery(peer.address, mock.Mock()).run)
+            done.wait()
+            running.kill()
+        # Only what refuses the version itself makes it ask for the whole list.
+        self.check("net_refused", peer.seen[:7])
+
     def test_nothing_of_a_place_that_was_left_is_told(self):
         """A line that was read before the move must not stand in the list of the new place."""
         told = []
