Stand-in for discovery begins a watch with a line, as the page says

Cause: nodes now start on the known version, and the test's agent opened a watch and said nothing, so readiness came after 0.3 s and the trace differed. Change: it sends an empty change first, as the protocol page has it.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -386,7 +386,8 @@
         self.backend = Peer(self.serve)
         known = {"index": 1, "snapshot": True, "endpoints": [entry("b0", address=self.backend.address)]}
         whole = answer(200, json.dumps(known).encode())
-        agent, self.agent = (Peer(lambda message: CHUNKED if b"follow" in message.url else whole)
+        changes = CHUNKED + b"2c\r\n{\"index\":1,\"snapshot\":false,\"endpoints\":[]}\n\r\n"
+        agent, self.agent = (Peer(lambda message: changes if b"follow" in message.url else whole)
                              for _ in range(2))
         self.folder = tempfile.TemporaryDirectory()
         self.path = path = os.path.join(self.folder.name, "config.json")
