A line of counts once a second: links, trips, trials, probes, calls to discovery, final no's

Change: reducer.py counts them and notes them a second after the first; nothing wakes for it otherwise.

--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -6,7 +6,7 @@
 looked into here.
 """
 
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from heapq import heappop, heappush
 
 from pierglade import records as r
@@ -146,6 +146,7 @@
         self.now, self.came, self.idle, self.effects = now, now, now, []
         # What no line has told of yet: invocations bounced unseen, clients that found no descriptor left.
         self.pressed = self.crowded = 0
+        self.counts = Counter()         # what was done since the last line of counts, for whoever adds up nodes
         self.handlers = {
             OPENED: self._opened, BEGUN: self._begun, ASKED: self._asked, FAULTY: self._faulty,
             ANSWERED: self._answered, CLIENT_ENDED: self._client_ended, UP: self._up,
@@ -321,6 +322,16 @@
         self._connection_due(client, max(limit - MARGIN // 2, self.now + 1), self._overdue)
         self.node.taken(self.now, invocation)
 
+    def _count(self, what):
+        if not self.counts:
+            self._at(self.now + TOLD_AFTER, self._tell_counts, None)
+        self.counts[what] += 1
+
+    def _tell_counts(self, _):
+        # Harmless from one node, much of it is harm from forty at once: only counted over all does it show.
+        self._note("counts", **dict(sorted(self.counts.items())))
+        self.counts.clear()
+
     def _tell_pressed(self, _):
         """One line for many: they come by thousands, and at the worst time."""
         self._note("pressed", bounced=self.pressed)
@@ -467,14 +478,17 @@
         while (decision := node.decide(now)) is not None:
             kind, subject = decision
             if kind is r.SEND:
+                self._count("trials" if subject.trial else "trips")
                 self._carry(subject)
             elif kind is r.CALL_OFF:
                 if subject.outcome is None:
                     self._drop(subject, "called off")
                     self._return(subject, r.CALLED_OFF)
             elif kind is r.PROBE:
+                self._count("probes")
                 self._probe(node.names[subject])
             elif kind is r.ASK:
+                self._count("asked again")
                 self._do(ASK)
             elif subject.mark.invocation is subject:
                 # Overdue in the turn in which this was decided, it has its answer, and must not get another.
@@ -485,6 +499,7 @@
                    ms=(self.now - invocation.arrived) / 10,
                    of_ms=(invocation.limit - invocation.arrived) / 10,
                    ends=[t.outcome for t in invocation.trips])
+        self._count(kind)
         if kind is r.BOUNCE:
             wait = invocation.by.come_back_in(self.now)
             self._answer(invocation.mark, 503, [(b"Retry-After", b"%g" % (wait / 10000))] if wait else [])
@@ -532,6 +547,7 @@
         backend.links += 1
         self._is(link, CONNECTING, self.links)
         link.since = self.now
+        self._count("links opened")
         self._watch(link)
         self._do(CONNECT, link)
         return link
@@ -650,6 +666,8 @@
         if link.state is ENDED:
             return
         trip, link.trip = link.trip, None
+        if link.state is CONNECTING:
+            self._count("links refused")
         if link.probing:
             self._probed(link, False)
         self._end_link(link, reason)
@@ -736,6 +754,7 @@
         self.ready = True
 
     def _no_word(self, why):
+        self._count("no word")
         if why != self.no_word:
             self.no_word = why
             self._note("discovery lost", why=why)
