--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -57,7 +57,7 @@
 USUAL = 0.02            # share; a try with this much less time than first ones was cut by the hard limit
 VOTES_MOST = 50         # tries; how many it takes to change what is usual, about a second's worth
 PATIENCE = 0.3          # share of the expected time; held longer, it is bounced, as is what is over its share
-IN_VIEW = 5000          # 0.5 s; of a backend seen less often it is not known how full it is
+IN_VIEW = 2500          # 0.25 s; of a backend seen less often it is not known how full it is
 TOLD = 1 / 3            # share of a new report; one covers few answers
 TOLD_FOR = 30000        # 3 s; an older report says nothing of now
 BUSY_LEAST = 0.2        # share of cores in use from which what a backend settles tells what it can
@@ -74,14 +74,12 @@
 REST_EACH, REST_IN = 60000, 10000   # 6 s, 1 s; rests begin at multiples of the one, within the other
 REST_FOR, REST_AGAIN = 50000, 110000    # 5 s, 11 s; a rest, and from its start to another
 REST_PART = 0.2         # of the limit; cores are then less than half in use
-ASK_GAP, ASK_GAP_MOST = 5000, 160000    # 0.5 s, 16 s; in the mean until the list is asked for again, doubled
-ASK_EACH = 500          # 50 ms; as long between the first calls of all nodes
+ASK_GAP, ASK_GAP_MOST = 20000, 160000   # 2 s, 16 s; in the mean until the list is asked for again, doubled
 COST_LEAST, COST_MOST = 0.25, 4.0   # times the mean; hints are not to be trusted beyond
 SOME = 1e-5             # 0.1 a second; a node that nothing has come to yet is asked for that much
 SEEN_LEAST = 5000       # 0.5 s; what came in less is luck
 SEE = 2000              # 0.2 s; how often a node looks how much comes to it
 PART_LEAST, PART_MOST = 0.2, 20.0   # times the mean; a node's part of what all are asked for
-IN_VIEW_SEEN = 2500     # 0.25 s; the same by what comes to the node, which shares do not spread evenly
 FEWEST = 2              # backends; with fewer a node could lose all to one outage
 STEEP = 4               # power of the level in turns; nothing else evens out what few links bring by chance
 COLD_MARGIN = 0.5       # share of the cold budget used; the rest is for uneven nodes, machines and work
@@ -89,6 +87,7 @@
 OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
 GHOST = 1.5             # times typical; how long a trip that nobody waits for still counts as in flight
+LIGHT = 0.1             # share of the work asked for; so little of it need not wait for room
 WAITED = 0.1            # share of the expected time; an oldest held wait beyond it ranks what is held by gain
 BEHIND = 1000           # 100 ms; a host that had no rest for so long is short of its core, not held up once
 FADE = 0.999            # share left of what was asked and settled after each 50 ms: about 50 s are seen
@@ -134,10 +133,8 @@
         self.index = {}
         self.names, self.state, self.zone, self.cell = [], [], [], []
         self.started, self.left_at, self.cold_until = [], [], []
-        self.allowance, self.allowed_at = [], []
-        self.size, self.owed = [], []
-        self.out, self.last_answer = [], []
-        self.quick, self.level, self.errors = [], [], []
+        self.allowance, self.allowed_at, self.size, self.owed = [], [], [], []
+        self.out, self.last_answer, self.quick, self.level, self.errors = [], [], [], [], []
         self.trouble, self.since, self.until, self.relapses = [], [], [], []
         self.trial_at, self.trial_gap, self.trial_due, self.trials_out = [], [], [], []
         # What reports say: settled in a second for all nodes, share of the cores in use, and usually settled
@@ -175,12 +172,11 @@
         self.extra = EXTRA_MOST
         self.lost = LOST_LEAST      # share of trips that come to nothing at backends that are well
         self.unsettled = 0.0        # invocations that their clients may come back with
-        self.overloaded = False
+        self.overloaded, self.ahead = False, None   # the queue that need not wait for room
         self.flying, self.ailing = {}, {}       # backends with trips out, and those in trouble
         self.sweep_at, self.swept = NEVER, now
         self.see_at = now
-        self.first_gap = self.ask_gap = min(ASK_GAP_MOST, max(ASK_GAP, ASK_EACH * terms.nodes))
-        self.ask_at = now if terms.asks_list else NEVER
+        self.ask_at, self.ask_gap = (now if terms.asks_list else NEVER), ASK_GAP
         self._due(self.ask_at)
         self.slower_since, self.rest_until, self.rest_again = NEVER, 0, 0
         self.room, self.seen_at, self.unprobed = 1.0, now, 0.0
@@ -190,7 +186,7 @@
     def listed(self, now, entries, whole):
         """The list's word on all backends, or on the changed ones."""
         # Not at once: a call that still waits its turn has its first line, and may yet come to nothing.
-        self.ask_gap = max(self.first_gap, self.ask_gap // 2)
+        self.ask_gap = max(ASK_GAP, self.ask_gap // 2)
         if whole:
             named = {e.name for e in entries}
             for name, b in self.index.items():
@@ -233,7 +229,7 @@
         total = sum(map(self.size.__getitem__, self.ranked))
         enough = self.in_view and self.in_view * total
         self.redraw_at = NEVER
-        # All nodes go evenly round one ring: drawn by chance, some backends were seen by two thirds more nodes.
+        # Evenly round one ring: drawn by chance, two thirds more nodes than the mean saw some backends.
         begin = len(self.ranked) * self.terms.number // self.terms.nodes
         for b in self.ranked[begin:] + self.ranked[:begin]:
             if enough is not None and size * len(self.ranked) >= enough:
@@ -282,7 +278,7 @@
             self.room = max(1.0, min(ROOM_MOST, self.room * (ROOM_LESS if full else ROOM_MORE)))
         self.seen_at = now
         self._look_for_shared(now, told)
-        in_view = max(FEWEST, int(self.asked * IN_VIEW_SEEN))
+        in_view = max(FEWEST, int(self.asked * IN_VIEW))
         if not self.in_view / 1.5 <= in_view <= self.in_view * 1.5:
             self.in_view = in_view
         self._draw_turn(now)
@@ -361,16 +357,13 @@
         # were not settled: beyond that it is clients with less patience, who are turned away for nothing.
         spent = 0
         # One of hundreds of nodes gets the repeats of others, and cannot count them.
-        if self._short(invocation) and (self.unsettled >= 1 or len(self.turn) < len(self.ranked)):
+        if self._short(offering, left) and (self.unsettled >= 1 or len(self.turn) < len(self.ranked)):
             self.unsettled -= 1
             spent = offering.hard_limit - left
         return min(left, offering.expected - spent)
 
-    def _short(self, invocation):
+    def _short(self, offering, left):
         """Whether it came with less time than first tries usually do."""
-        return self._is_short(invocation.offering, invocation.limit - invocation.arrived)
-
-    def _is_short(self, offering, left):
         return left < (1 - USUAL) * self.table[offering.index].usual_left
 
     def pressed(self, now, idle, offering, came, left):
@@ -379,7 +372,7 @@
         Taken all the same, all would come late to their turn, and what is left of the core go into bounces.
         """
         bounced = now - idle > BEHIND and now - came > WAITED * offering.expected
-        self.unsettled += bounced and not self._is_short(offering, left)
+        self.unsettled += bounced and not self._short(offering, left)
         return bounced
 
     def returned(self, now, trip, outcome, took, done):
@@ -424,7 +417,7 @@
         """The client has gone; no answer is owed."""
         if not invocation.over:
             invocation.over = True
-            self.unsettled += not self._short(invocation)
+            self.unsettled += not self._short(invocation.offering, invocation.limit - invocation.arrived)
             self._call_off_rest(invocation)
 
     def probed(self, now, name, good, took):
@@ -463,7 +456,7 @@
                 # Held so long, it would come out of the backend late: an early no leaves room for the others.
                 heappop(queue)
                 return self._final(invocation)
-            full = self.limit.full(now)
+            full = self.limit.full(now, queue is self.ahead)
             if full and (opens := self.limit.opens(now)) is not None:
                 self._due(opens)
             b = None if full else self._choose(invocation, now)
@@ -520,7 +513,7 @@
     def _final(self, invocation):
         invocation.over = True
         # Only first tries count: if what was taken for a repeat did, each would make another one look so.
-        self.unsettled += not self._short(invocation)
+        self.unsettled += not self._short(invocation.offering, invocation.limit - invocation.arrived)
         return BOUNCE if self._may_bounce(invocation) else GIVE_UP, invocation
 
     def _hopeless(self, invocation, now):
@@ -601,6 +594,10 @@
             line.popleft()
         waited = (now - line[0].held) / line[0].offering.expected if line else 0.0
         self.overloaded = waited > WAITED
+        # A node with room for two trips waits long for one to end: what gains most and is little goes ahead.
+        work = [row.asked * row.typical for row in self.table]
+        most = max(range(len(work)), key=lambda o: self._gain(self.table[o]))
+        self.ahead = self.held[most] if work[most] <= LIGHT * sum(work) else None
         if line:
             self._due(now + SWEEP)
         if waited > PATIENCE:
--- a/pierglade/limit/room.py
+++ b/pierglade/limit/room.py
@@ -28,6 +28,7 @@
 SPAN = 5000             # 0.5 s; the limit holds in the mean of about this, as a node's part may be under one
 PEAK_SMALL = 1.5        # times a limit of a trip or two, and one more: out at once while the mean allows
 PEAK_LARGE, PEAK_MORE = 0.8, 3  # times a limit of some trips, and trips; from 15 on the limit itself
+AHEAD = 2.0             # times that peak; what goes ahead is little, and more than this is no burst of it
 STEP_MOST = log(3)      # where answers hardly differ, a step is known good or bad by the first ones
 STEP_NOISY = log(1.5)   # else; overshoot by half for a round fills no queue that lasts
 STEP_LEAST = log(1.15)  # a smaller one gains little
@@ -168,11 +169,13 @@
         """How many trips this node may have out, in the mean."""
         return self.each * self.fleet
 
-    def full(self, now):
-        """Whether what waits has to wait for want of room."""
+    def full(self, now, ahead=False):
+        """Whether what waits has to wait for want of room; `ahead` borrows from what waits behind it."""
         self._spend(now)
         limit = self.trips()
         peak = min(PEAK_SMALL * limit + 1, max(limit, PEAK_LARGE * limit + PEAK_MORE))
+        if ahead and self.spare > -limit * SPAN and self.busy < AHEAD * peak:
+            return False
         if self.spare >= 0 and self.busy < peak:
             return False
         # A burst that meets the peak while the mean has room is none of the limit's doing.
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -404,6 +404,20 @@
 
 
 class Overload(TraceTest):
+    def test_what_gains_most_and_is_little_goes_ahead(self):
+        """One of forty nodes has room for two trips and waits long for one to end: what gains most and would be
+        late by then was bounced more often than all else."""
+        scene = Scene([f"b{n}" for n in range(60)], nodes=40, members=[r.Member("north", 800.0)])
+        for n in range(16):
+            scene.take(f"look{n}")
+        scene.after(60)
+        scene.take("pay", offering=2)
+        # It borrows no more than the limit of half a second, and is then no longer little: the rest waits.
+        for n in range(6):
+            scene.take(f"pay{n}", offering=2)
+            scene.after(10)
+        self.check("ahead", scene.lines)
+
     def test_told_by_the_oldest_wait(self):
         scene = Scene(["b0"])
         north, south = scene.terms.members
