--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from bisect import insort
+from bisect import bisect_left, insort
 from collections import deque
 from hashlib import blake2b
 from heapq import heappop, heappush
@@ -80,6 +80,7 @@
 SEEN_LEAST = 5000       # 0.5 s; what came in less is luck
 SEE = 2000              # 0.2 s; how often a node looks how much comes to it
 PART_LEAST, PART_MOST = 0.2, 20.0   # times the mean; a node's part of what all are asked for
+MOVE = 50000            # 5 s; between moves by one backend towards an even place on the ring
 FEWEST = 2              # backends; with fewer a node could lose all to one outage
 STEEP = 4               # power of the level in turns; nothing else evens out what few links bring by chance
 COLD_MARGIN = 0.5       # share of the cold budget used; the rest is for uneven nodes, machines and work
@@ -155,27 +156,22 @@
         self.forget = FORGET * max(o.hard_limit for o in terms.offerings)
         self.most = 0               # ready backends listed at once
         self.warm_pace = 0.0        # what a warm backend in view gets from this node, by size and time
-        self.redraw_at = NEVER
-        self.rank, self.ranked = [], []
-        self.turn, self.at = [], 0
-        self.largest = 1.0
-        self.slow_ones = 0
-        # What is held and out.
+        self.rank, self.ranked, self.redraw_at = [], [], NEVER
+        self.turn, self.at, self.anchor, self.move_at = [], 0, b"", now
+        self.largest, self.slow_ones = 1.0, 0
         # Heaps of (moment of the expected time, count, invocation), one an offering.
         self.held = [[] for _ in terms.offerings]
         self.line = deque()         # the same in order of arrival, some already gone
         self.count = 0
         self.again = []             # invocations that wait for a further trip
-        self.finals = deque()       # decisions already made
-        self.probes = deque()
+        self.finals, self.probes = deque(), deque()     # decisions already made
         self.limit = Room(terms.nodes, len(terms.offerings), now, SOME if self.learns else self.asked or None)
         self.extra = EXTRA_MOST
         self.lost = LOST_LEAST      # share of trips that come to nothing at backends that are well
         self.unsettled = 0.0        # invocations that their clients may come back with
         self.overloaded, self.ahead = False, None   # the queue that need not wait for room
         self.flying, self.ailing = {}, {}       # backends with trips out, and those in trouble
-        self.sweep_at, self.swept = NEVER, now
-        self.see_at = now
+        self.sweep_at, self.swept, self.see_at = NEVER, now, now
         self.ask_at, self.ask_gap = (now if terms.asks_list else NEVER), ASK_GAP
         self._due(self.ask_at)
         self.slower_since, self.rest_until, self.rest_again = NEVER, 0, 0
@@ -229,8 +225,15 @@
         total = sum(map(self.size.__getitem__, self.ranked))
         enough = self.in_view and self.in_view * total
         self.redraw_at = NEVER
-        # Evenly round one ring: drawn by chance, two thirds more nodes than the mean saw some backends.
-        begin = len(self.ranked) * self.terms.number // self.terms.nodes
+        # Evenly round one ring: drawn by chance, two thirds more nodes than the mean saw some backends. Moved
+        # on at each change of the list, all nodes opened a connection each time, for a third of a backend.
+        count = len(self.ranked)
+        begin = bisect_left(self.ranked, self.anchor, key=self.rank.__getitem__) % max(1, count)
+        even = count * self.terms.number // self.terms.nodes % max(1, count)
+        if begin != even and now >= self.move_at:
+            nearer = 1 if (even - begin) % count <= count // 2 else -1
+            begin = (begin + nearer) % count if self.anchor else even
+            self.anchor, self.move_at = self.rank[self.ranked[begin]], now + MOVE
         for b in self.ranked[begin:] + self.ranked[:begin]:
             if enough is not None and size * len(self.ranked) >= enough:
                 break
@@ -352,9 +355,8 @@
         if row.usual_votes < 0:
             row.usual_left, row.usual_votes = left, 1
         row.usual_votes = min(row.usual_votes, VOTES_MOST)
-        # Less time than first tries bring shows a late repeat, whose expected time may be over: worked on
-        # before the others it would fill the fleet with answers worth nothing. There are no more of them than
-        # were not settled: beyond that it is clients with less patience, who are turned away for nothing.
+        # Less time than first tries bring shows a late repeat: worked on first it would fill the fleet with
+        # answers worth nothing. More of them than were not settled are clients with less patience.
         spent = 0
         # One of hundreds of nodes gets the repeats of others, and cannot count them.
         if self._short(offering, left) and (self.unsettled >= 1 or len(self.turn) < len(self.ranked)):
@@ -595,7 +597,7 @@
         waited = (now - line[0].held) / line[0].offering.expected if line else 0.0
         self.overloaded = waited > WAITED
         # A node with room for two trips waits long for one to end: what gains most and is little goes ahead.
-        work = [row.asked * row.typical for row in self.table]
+        work = [max(row.asked, 1.0) * row.typical for row in self.table]
         most = max(range(len(work)), key=lambda o: self._gain(self.table[o]))
         self.ahead = self.held[most] if work[most] <= LIGHT * sum(work) else None
         if line:
