--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -83,7 +83,7 @@
 MOVE = 50000            # 5 s; between moves by one backend towards an even place on the ring
 FEWEST = 2              # backends; with fewer a node could lose all to one outage
 STEEP = 4               # power of the level in turns; nothing else evens out what few links bring by chance
-COLD_MARGIN = 0.5       # share of the cold budget used; the rest is for uneven nodes, machines and work
+COLD_MARGIN = 0.5       # share of the cold budget used while colder; the rest is for uneven nodes and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
 OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
@@ -162,11 +162,10 @@
         # Heaps of (moment of the expected time, count, invocation), one an offering.
         self.held = [[] for _ in terms.offerings]
         self.line = deque()         # the same in order of arrival, some already gone
-        self.count = 0
         self.again = []             # invocations that wait for a further trip
         self.finals, self.probes = deque(), deque()     # decisions already made
         self.limit = Room(terms.nodes, len(terms.offerings), now, SOME if self.learns else self.asked or None)
-        self.extra = EXTRA_MOST
+        self.count, self.extra = 0, EXTRA_MOST
         self.lost = LOST_LEAST      # share of trips that come to nothing at backends that are well
         self.unsettled = 0.0        # invocations that their clients may come back with
         self.overloaded, self.ahead = False, None   # the queue that need not wait for room
@@ -678,7 +677,8 @@
         terms = self.terms
         age = max(0, now - self.started[b])
         capacity = min(1.0, terms.cold_from + (1 - terms.cold_from) * age / max(1, terms.cold_for))
-        pace = COLD_MARGIN * min(1.0, terms.tip_multiple * capacity) * self.warm_pace * self.size[b]
+        part = max(COLD_MARGIN, capacity) * min(1.0, terms.tip_multiple * capacity)
+        pace = part * self.warm_pace * self.size[b]
         self.allowance[b] = min(COLD_BURST, self.allowance[b] + pace * (now - self.allowed_at[b]))
         self.allowed_at[b] = now
         return self.allowance[b] >= 1
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -35,7 +35,8 @@
             for node, told in logs.items():
                 text = [json.dumps({"at_ms": 5e6 + at, "node": node, "event": event, **fields})
                         for at, event, fields in told]
-                (place / f"{node}.log").write_text("\n".join(["a shell's word", "0.01 " + text[0], *text[1:]]))
+                text[0] = "a shell's word\n0.01 " + text[0]
+                (place / f"{node}.log").write_text("\n".join(text))
             count(folder)
             (place / "n2.log").write_text('{"at_ms": 5, "event"')
             count(folder)
@@ -58,7 +59,7 @@
         """Moves the clock on; carry(node, kind, subject) does what is decided."""
         end = self.now + ms * MS
         while True:
-            wake, node = min(((node.wake(self.now) or end, n) for n, node in enumerate(nodes)), default=(end, 0))
+            wake, node = min((node.wake(self.now) or end, n) for n, node in enumerate(nodes))
             if wake >= end:
                 break
             self.now = wake
@@ -85,8 +86,8 @@
         self.check("fleet_calls", [f"calls in each second: {gaps}"])
 
     def test_views_go_evenly_round(self):
-        """Drawn by chance, some backends were in two thirds more views than the mean; evened at each change of
-        the list, the views of a third of the nodes moved with each."""
+        """Drawn by chance, some backends were in two thirds more views than the mean; evened at each change
+        of the list, the views of a third of the nodes moved with each."""
         nodes, lines = self.nodes(), []
 
         def tell(what, before):
@@ -115,7 +116,7 @@
         self.check("fleet_views", lines)
 
     def test_a_dead_backend_is_not_asked_by_all_at_once(self):
-        """Each node probes what it lost; the rate that the backend sees is bounded, and it is soon found well."""
+        """Each node probes what it lost; the rate that the backend sees is bounded, and it is found soon."""
         nodes, probes, well, begin = self.nodes(), Counter(), [], 10000 * MS
         seers = [node for node in nodes if node.index["b7"] in node.turn]
         for node in seers:
@@ -131,5 +132,30 @@
 
         self.run_for(seers, 16000, probe)
         rates = " ".join(str(probes[second]) for second in range(16))
+        last = probes["last"] / 10000 - 10
         self.check("fleet_dead", [f"{len(seers)} nodes see it; probes in each second: {rates}",
-                                  f"{len(well)} found it back, the last {probes['last'] / 10000 - 10:.1f} s after"])
+                                  f"{len(well)} found it back, the last {last:.1f} s after"])
+
+    def test_a_cold_backend_gets_what_it_can_from_all_together(self):
+        """Held to half the usual pace until warm, six in ten backends that were replaced had idle cores; over
+        three times what it can do for 2 s, by all nodes together, one falls over."""
+        nodes = self.nodes(cold_from=0.36, tip_multiple=3.0)
+        for node in nodes:
+            node.listed(self.now, [listed("cold", started=self.now)], False)
+        usual = nodes[0].warm_pace * nodes[0].size[0] * 10000
+        seers = [node for node in nodes if node.index["cold"] in node.turn]
+        lines, begin, sent = [f"{len(seers)} nodes see it"], self.now, Counter()
+        warm = usual * len(seers)
+        # Each sends all that it is allowed, as with work waiting all the time.
+        for step in range(8000):
+            self.now = begin + step * MS
+            for node in seers:
+                cold = node.index["cold"]
+                if node._cold_allows(cold, self.now):
+                    node.allowance[cold] -= 1
+                    sent[step // 1000] += 1
+        for second in range(8):
+            can = 0.36 + 0.64 * second / 8
+            lines.append(f"second {second}: {sent[second]} sent by all, it can do {can:.2f} of a warm one's "
+                         f"{warm:.0f}, and falls over at {3 * can * warm:.0f}")
+        self.check("fleet_cold", lines)
