--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -158,4 +158,4 @@
             can = 0.36 + 0.64 * second / 8
             lines.append(f"second {second}: {sent[second]} sent by all, it can do {can:.2f} of a warm one's "
                          f"{warm:.0f}, and falls over at {3 * can * warm:.0f}")
-        self.check("fleet_cold", lines)
+        self.check("together_cold", lines)
