--- a/experiments/fleet/count.py
+++ b/experiments/fleet/count.py
@@ -1,7 +1,7 @@
 """Adds up what the nodes of a fleet did: `python experiments/fleet/count.py FOLDER` reads every *.log in it.
 
-Prints a row a second with what all nodes counted together, then how late the nodes heard of each change of the
-list, and each backend that many nodes lost trips at. What one node does is never shown: it is harmless alone.
+Prints a row a second with what all nodes counted together, then how late the nodes heard of changes of the
+list, and the backends that most trips were lost at. What one node does is never shown: it is harmless alone.
 """
 
 import pathlib
--- a/pierglade/net/host.py
+++ b/pierglade/net/host.py
@@ -31,7 +31,7 @@
         self.reducer = rd.Reducer(place.seed, place.terms, self.clock.now(), sockets, place.discovery,
                                   place.told)
         self.reducer.known(place.known)
-        # From the version that is known: forty whole lists at once are more than a discovery sends in seconds.
+        # From the version that is known: forty whole lists at once keep a discovery busy for seconds.
         self.follow(place.discovery, self.reducer.index)
         self.inbox, self.working = deque(), False
         self.turns = Turns(self.clock)
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -146,7 +146,7 @@
         self.now, self.came, self.idle, self.effects = now, now, now, []
         # What no line has told of yet: invocations bounced unseen, clients that found no descriptor left.
         self.pressed = self.crowded = 0
-        self.counts = Counter()         # what was done since the last line of counts, for whoever adds up nodes
+        self.counts = Counter()         # what was done since the last line of counts
         self.handlers = {
             OPENED: self._opened, BEGUN: self._begun, ASKED: self._asked, FAULTY: self._faulty,
             ANSWERED: self._answered, CLIENT_ENDED: self._client_ended, UP: self._up,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -405,8 +405,8 @@
 
 class Overload(TraceTest):
     def test_what_gains_most_and_is_little_goes_ahead(self):
-        """One of forty nodes has room for two trips and waits long for one to end: what gains most and would be
-        late by then was bounced more often than all else."""
+        """One of forty nodes has room for two trips and waits long for one to end: what gains most, and would
+        be late by then, was bounced more often than all else."""
         scene = Scene([f"b{n}" for n in range(60)], nodes=40, members=[r.Member("north", 800.0)])
         for n in range(16):
             scene.take(f"look{n}")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -306,7 +306,7 @@
         self.check("net_asked", told)
 
     def test_a_refused_watch_keeps_the_version(self):
-        """Each node that asked for the whole list again, in place of the changes, kept discovery overbooked."""
+        """Each node that asked for the whole list again, in place of changes, kept discovery overbooked."""
         refused = iter((503, 429, 503, 410))
         done = Event()
 
