A parser's fault with no cause of ours is passed on as it is

Need: read again before the stop; httptools always sets the cause as far as was seen, but raising nothing would have ended the follower's turn with a TypeError. Measured: tests of the network code and the reducer pass.

--- a/pierglade/net/discovery.py
+++ b/pierglade/net/discovery.py
@@ -45,7 +45,7 @@
         except httptools.HttpParserCallbackError as fault:
             # Taken for an answer that cannot be read, a watch refused by a busy discovery would cost the
             # version, and each node would ask for the whole list, which keeps it overbooked.
-            raise fault.__context__ from None
+            raise (fault.__context__ or fault) from None
         return self.lines
 
     def on_headers_complete(self):
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -325,7 +325,8 @@
 
     def test_changes_fit_on_the_version_that_was_known(self):
         """Started anew, twenty-eight nodes asked for the whole list at once, and none of them got it."""
-        desk = Desk(backends=(), known={"index": 41, "snapshot": True, "endpoints": [entry("b0"), entry("b1")]})
+        known = {"index": 41, "snapshot": True, "endpoints": [entry("b0"), entry("b1")]}
+        desk = Desk(backends=(), known=known)
         desk.say(f"follows from {desk.reducer.index}")
         desk.hear([entry("b1", "DRAINING")], index=42, whole=False)
         desk.hear([entry("b0", "DRAINING")], index=40, whole=False)
