A request whose client has left is not written to a backend, wherever it waited

Lines at fault: links._up, _write_later and _offer wrote without asking whether the invocation was over; nothing looked at the client's end between its reading and the write. Change: LinkSocket.write looks at the client's connection as the last thing (one byte of tcp_info, 0.5 us) and tells LEFT; _write withdraws a trip that is over, late, for a draining backend or for another address; a half written request is cut off. With it: the grace is not used any more (the agent may have been told before us: the trace of a drained link is stricter), probes are not written to a draining backend, a link rests 10 ms (a probe saw second answers 1.2 to 3.9 ms late on join+brink, the link was used again after 1 ms), an answer that we end leaves 1 ms to the next trip, a link passed over is looked at before it is written, a client found gone as its answer is written is ended at once (5 s before), no request is taken from an inbox that was dropped.

--- a/pierglade/net/backends.py
+++ b/pierglade/net/backends.py
@@ -15,7 +15,7 @@
         self.link, self.tell = link, tell
         self.sock = socket.socket()
         self.answers = Answers()
-        self.kept = False       # it has brought an answer before
+        self.kept = False       # it has stood idle, or brought an answer, since it came up
         self.whole = False      # the last byte of the request that is out was handed to the kernel
         self.flow = None        # the answer that comes, where it is too large to hold
         self.read_on = Event()
@@ -35,6 +35,8 @@
         except OSError as fault:
             return self._ended(events.REFUSED, f"refused: {fault.strerror or fault}")
         self.tell(events.UP, self.link)
+        # Passed over while it came up, it stands idle: written blind later, its end would count as a loss.
+        self.kept = self.link.state is events.IDLE
         self.read()
 
     def read(self):
@@ -111,10 +113,23 @@
         self._end_flow()
         self.tell(events.LINK_ENDED, self.link, how, self.whole, reason)
 
+    def _unwanted(self):
+        """Whether nobody waits any more for what is to be written; looked at as late as can be.
+
+        Wherever the request has waited, and whichever of its client's end and our turn was read first.
+        """
+        if self.link.probing:
+            return False
+        trip = self.link.trip
+        return trip is None or (client := trip.invocation.mark.io) is None or sending.ended(client.sock)
+
     def write(self, head, body):
         if self.kept and sending.waiting(self.sock):
             self.tell(events.LINK_ENDED, self.link, events.STALE, False, "readable while idle")
             return
+        if self._unwanted():
+            self.tell(events.LEFT, self.link)
+            return
         if isinstance(body, Flow):
             gevent.spawn(self._write_flow, head, body)
             return
@@ -130,7 +145,15 @@
 
     def _write_rest(self, rest):
         try:
-            self.sock.sendall(rest)
+            while rest:
+                socket.wait_write(self.sock.fileno())
+                if self._unwanted():
+                    # The backend begins with the last byte: without it nothing runs that nobody waits for.
+                    return self.tell(events.LINK_ENDED, self.link, events.CUT, False, "its client left")
+                try:
+                    rest = rest[self.sock._sock.send(rest, socket.MSG_DONTWAIT):]
+                except BlockingIOError:
+                    pass
             self.whole = True
         except OSError as fault:
             # Part of the last piece may have gone: counted as written, it is never run twice.
@@ -142,6 +165,8 @@
             if flow.whole and not flow.passing:
                 self.sock.sendall(head)
                 for piece in list(flow.pieces):
+                    if self._unwanted():
+                        return self.tell(events.LINK_ENDED, self.link, events.CUT, False, "its client left")
                     self.sock.sendall(piece)
             else:
                 sending.pass_on(self.sock, head, flow, flow.length is None, lambda: None)
--- a/pierglade/net/clients.py
+++ b/pierglade/net/clients.py
@@ -191,8 +191,9 @@
             return
         try:
             rest = sending.send_now(self.sock, head, body)
-        except OSError:
-            return      # The reader finds the same and tells.
+        except OSError as fault:
+            # The reader may be waiting for this answer, and not see it before the time for slow readers.
+            return self.tell(events.CLIENT_ENDED, self.client, f"broke: {fault.strerror}")
         if rest:
             gevent.spawn(self._write_rest, rest, last)
         else:
@@ -201,8 +202,8 @@
     def _write_rest(self, rest, last):
         try:
             self.sock.sendall(rest)
-        except OSError:
-            return
+        except OSError as fault:
+            return self.tell(events.CLIENT_ENDED, self.client, f"broke: {fault.strerror}")
         self._written(last)
 
     def _pass_on(self, head, flow, last, chunked):
@@ -238,7 +239,8 @@
         self.read_on.set()
 
     def _take_next(self):
-        if not self.last and not self.requests.held:
+        # Its connection may have ended before its turn came, and the inbox be dropped.
+        if self.requests.parser is not None and not self.last and not self.requests.held:
             self._take()
 
     # Requests sent ahead of the answer to the one in hand (RFC 9112, 9.3.2).
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -16,8 +16,8 @@
 from pierglade.choice import Node
 from pierglade.net.state.events import (
     ALONE, ANSWERED, ASKED, BEGUN, BODY, BUSY, CALLED, CLIENT_ENDED, CONFIGURED, CONNECTING, ENDED, EXIT,
-    FAULTY, FRESH, HEARD, IDLE, LINGERING, LINK_ENDED, NEVER, NOTE, NO_WORD, OPENED, OWED, READING, REPLIED,
-    REPLYING, REPLY_OVER, SPARE, STOP, TAKES, TOLD_AFTER, UNDECIDED, UP, WOKE, WRITING)
+    FAULTY, FRESH, HEARD, IDLE, LEFT, LINGERING, LINK_ENDED, NEVER, NOTE, NO_WORD, OPENED, OWED, READING,
+    REPLIED, REPLYING, REPLY_OVER, SPARE, STOP, TAKES, TOLD_AFTER, UNDECIDED, UP, WOKE, WRITING)
 from pierglade.net.state.clients import Clients
 from pierglade.net.state.links import Links
 from pierglade.net.state.listing import Listing
@@ -56,6 +56,7 @@
         self.gate = None                # who may connect; None: anybody
         self.gives_ids, self.given = False, 0   # to requests without one, and how many it gave
         self.leaving = self.exiting = False
+        self.closing = False            # after a stop: the end is so near that nothing more is begun
         self.due, self.count = [], 0    # heap of (moment, count, what is due, its subject)
         self.now, self.came, self.idle, self.effects = now, now, now, []
         self.began = now
@@ -66,6 +67,7 @@
             OPENED: self._opened, BEGUN: self._begun, ASKED: self._asked, BODY: self._body,
             TAKES: self._takes, REPLY_OVER: self._reply_over, FAULTY: self._faulty,
             ANSWERED: self._answered, CLIENT_ENDED: self._client_ended, UP: self._up,
+            LEFT: self._left,
             REPLYING: self._replying, REPLIED: self._replied, LINK_ENDED: self._link_ended,
             HEARD: self._heard, NO_WORD: self._no_word,
             CONFIGURED: self._configured, CALLED: self._called, ALONE: self._alone,
--- a/pierglade/net/state/events.py
+++ b/pierglade/net/state/events.py
@@ -1,11 +1,11 @@
 """What a reducer is told and asks for, and the connections it keeps: words shared by its parts."""
 
 # Events.
-(OPENED, BEGUN, ASKED, BODY, FAULTY, TAKES, ANSWERED, CLIENT_ENDED, UP, REPLYING, REPLIED, REPLY_OVER,
+(OPENED, BEGUN, ASKED, BODY, FAULTY, TAKES, ANSWERED, CLIENT_ENDED, UP, LEFT, REPLYING, REPLIED, REPLY_OVER,
  LINK_ENDED, HEARD, NO_WORD, CONFIGURED, CALLED, ALONE, STOP, WOKE) = (
-    "opened", "begun", "asked", "body", "faulty", "takes", "answered", "client ended", "up", "replying",
-    "replied", "reply over", "link ended", "heard", "no word", "configured", "called", "alone", "stop",
-    "woke")
+    "opened", "begun", "asked", "body", "faulty", "takes", "answered", "client ended", "up", "left",
+    "replying", "replied", "reply over", "link ended", "heard", "no word", "configured", "called", "alone",
+    "stop", "woke")
 UNDECIDED = frozenset((OPENED, BEGUN, TAKES, ANSWERED, REPLYING, REPLY_OVER))   # they tell decisions nothing
 # Effects.
 (ANSWER, LET_GO, END_CLIENT, CONNECT, WRITE, END_LINK, RELIST, ASK, MOVE, REPLY, OPEN_DOOR, CLOSE_DOOR, EXIT,
--- a/pierglade/net/state/links.py
+++ b/pierglade/net/state/links.py
@@ -8,9 +8,7 @@
 from pierglade.terms import load_told
 
 # Constants. Times are tenths of a millisecond.
-GRACE_MARGIN = 1000     # 100 ms; no trip starts this close to the end of a backend's grace
-GRACE_PART = 0.5        # share of the grace that is used even where that margin is longer than it
-REST = 10               # 1 ms; what comes behind an answer has shown by then, and cannot answer the next trip
+REST = 100              # 10 ms; second answers came up to 4 ms late, and must not answer the next trip
 APART = 10              # 1 ms; from ending a trip ourselves to the first byte of the next one's, elsewhere
 IDLE_PART = 0.6         # share of the idle limit after which we close first, so that no trip meets its end
 PROBE_FOR = 2000        # 200 ms; a process that runs says so at once
@@ -91,7 +89,7 @@
         flow = trip.invocation.mark.message.flow
         if flow is not None and flow.spent():
             return self._return(trip, r.NEVER_SENT)     # Some of its body went with an earlier one.
-        if backend is None or self._past_grace(backend):
+        if backend is None or self._binds(backend):
             return self._return(trip, r.TURNED_AWAY)
         # The last one used is used next, so that the rest grow old and are closed; but not at once.
         link = next((link for link in reversed(backend.idle) if self.now - link.since >= REST), None)
@@ -146,11 +144,6 @@
             self._link_ended(link, *(GARBLED, True, "endless answer") if link.replying else
                              (REFUSED, False, "probe time-out"))
 
-    def _past_grace(self, backend):
-        grace = self.terms.drain_grace
-        return (self._binds(backend)
-                and self.now > backend.told + max(grace - GRACE_MARGIN, int(GRACE_PART * grace)))
-
     def _up(self, link):
         """The connection has come up."""
         if link.state is not CONNECTING:
@@ -161,14 +154,12 @@
         if link.trip is None and not link.probing:
             # Its trip went out on another that was free first.
             return self._is_free(link, True)
-        if link.probing:
+        if link.probing and self._binds(link.backend):
+            self._link_ended(link, REFUSED, False, "drained")
+        elif link.probing:
             path = STATS_PATH if self._heeds(r.WITH_PROBES) else LIVE_PATH
             head = http.request_head(b"GET", path, [(b"Host", link.address.encode())], 0)
             self._do(WRITE, link, head, b"")
-        elif self._past_grace(link.backend):
-            trip, link.trip = link.trip, None
-            self._end_link(link, "past grace")
-            self._return(trip, r.TURNED_AWAY)
         else:
             self._write(link)
 
@@ -178,7 +169,17 @@
             self._write(link)
 
     def _write(self, link):
-        trip = link.trip
+        trip, backend = link.trip, link.backend
+        # Time has passed since it was decided: until the link came up, or the one before was ended.
+        if trip.invocation.over or self.now >= trip.until - MARGIN:
+            # Whoever waited has left or has the answer, also where trips may not be called off.
+            return self._withdraw(link, r.NEVER_SENT)
+        if self._binds(backend):
+            # The grace is not used: discovery may have told the agent of it well before it told us.
+            return self._withdraw(link, r.TURNED_AWAY)
+        if link.address != backend.address:
+            # Another process may have the address by now, which is told other things of itself.
+            return self._withdraw(link, None)
         if self.now < trip.invocation.mark.dropped + APART:
             # Two connections have no order between them: the end of the one is to be there before the other's
             # first byte, or the backends see two out at once.
@@ -197,6 +198,21 @@
         head = http.request_head(method, http.target(message.url), headers, length)
         self._do(WRITE, link, head, body)
 
+    def _withdraw(self, link, outcome):
+        """Not a byte of its trip is written: the link is free for another. No outcome: the trip goes on."""
+        trip, link.trip = link.trip, None
+        self._is_free(link, True)
+        if outcome is None:
+            self.carried.pop(trip)
+            return self._carry(trip)
+        self._return(trip, outcome)
+
+    def _left(self, link):
+        """What was to be written on the link was not: the end of its client was there to be read."""
+        if link.state is BUSY and link.trip is not None:
+            self._client_ended(link.trip.invocation.mark, "client closed")
+            self._withdraw(link, r.NEVER_SENT)
+
     def _replying(self, link):
         """A piece of an answer has come, and it is not whole. Its size is bounded by whoever reads it."""
         if link.flow is not None:
@@ -312,6 +328,9 @@
         if how is STALE:
             # A kept connection was found closed before a byte was written: the trip has not begun.
             return self._carry(trip)
+        if how in (GARBLED, CUT):
+            # Ended by us: the backend may go on with its answer, and has it out until our end is there.
+            trip.invocation.mark.dropped = self.now
         # Cut: its own client left in the middle of the body, which says nothing of the backend.
         outcome = (r.ERROR if how is GARBLED else r.NEVER_SENT if how is CUT else r.BROKEN if whole
                    else r.UNREACHABLE)
@@ -348,7 +367,7 @@
 
     def _probe(self, name):
         backend = self.backends.get(name)
-        if backend is None or backend.probed_on is not None:
+        if backend is None or backend.probed_on is not None or self._binds(backend):
             return      # One at a time: a silent backend must not fill up with probes.
         link = self._open(backend)
         if link is None:
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -77,7 +77,7 @@
     worst_offering: float   # weight of the worst-served offering in what counts as service
     connect_within: int = CONNECT_WITHIN    # a connection that is not up by then never will be
     idle_for: int = IDLE_FOR                # backends close a connection that was idle for this long
-    drain_grace: int = 0    # how long new trips to a draining or gone backend are still allowed
+    drain_grace: int = 0    # how long a draining or gone backend may still be sent to; a node never does
     gone_binds: bool = True # gone binds like draining; else only what was seen draining is not sent to
     asks_list: bool = False # the list comes only once it was asked for
     reports: str | None = None  # WITH_ANSWERS, WITH_PROBES, or None where they tell no pace
