A silent watch is found and opened again before what it misses counts as told

Where lists are pushed a failed try cost 1.2 s, twice the grace. Ruled out: a lost ask (it sets an event).

--- a/pierglade/net/discovery.py
+++ b/pierglade/net/discovery.py
@@ -1,5 +1,7 @@
 """Follows discovery: the whole list first, then a watch, which is opened again when it falls silent."""
 
+from time import monotonic
+
 import gevent
 import httptools
 import orjson
@@ -11,12 +13,13 @@
 from pierglade.net.http import Answers, Malformed, request_head
 
 LIST_PATH = b"/registry/instances"
-ANSWER_IN = 1.0     # s; the agent is on this machine and answers at once
+ANSWER_IN = 0.15    # s; the agent is on this machine and answers at once; with AGAIN under the least grace
 ASKED_IN = 4.0      # s; where the list must be asked for calls wait in line; one given up is answered in vain
 BUSY = (429, 503)   # what is asked for is not to be had now; the version stays good
-SILENT = 4.5        # s; over two heartbeats of 2 s
+SILENT = 3.5        # s; nearly two heartbeats of 2 s; leaves time for tries until what is missed is told
+TOLD_IN = 6.0       # s; so long after a watch fell silent what it misses counts as told
 ASKED_WITHIN = 25.0 # s; the decisions say within 24 s when to ask again
-AGAIN = 0.2         # s; between tries; what is not heard within 6 s counts as told all the same
+AGAIN = 0.05        # s; between tries; what the agent has counts as told, whether or not a watch is open
 READ = 16384        # bytes read at once
 LINE_MOST = 1 << 20     # bytes of a line; thousands of entries
 
@@ -35,7 +38,7 @@
     def __init__(self):
         self.parser = httptools.HttpResponseParser(self)
         self.pending, self.size = [], 0
-        self.lines = []
+        self.lines, self.indented = [], []
         self.over = False
 
     def feed(self, data):
@@ -59,13 +62,25 @@
     def on_body(self, body):
         *lines, rest = body.split(b"\n")
         for line in lines:
-            self.lines.append(b"".join((*self.pending, line)))
-            self.pending, self.size = [], 0
+            self._line(b"".join((*self.pending, line)))
+            self.pending = []
         self.pending.append(rest)
         self.size += len(rest)
         if self.size > LINE_MOST:
             raise ValueError("line too long")
 
+    def _line(self, line):
+        """Lists may come indented: such a one ends with the line that closes what its first one opened."""
+        bare = line.strip()
+        if self.indented or bare == b"{":
+            self.indented.append(line)
+            self.size += len(line)
+            if bare != b"}" or line[:1] != b"}":
+                return
+            line, self.indented = b"\n".join(self.indented), []
+        self.size = 0
+        self.lines.append(line)
+
     def on_message_complete(self):
         self.over = True
 
@@ -78,6 +93,7 @@
         self.index = index  # version to follow from; None: the whole list is wanted
         self.sock = None
         self.left = False
+        self.silent = None      # since when the watch has said nothing; None: it was not lost by that
         self.waits = lambda: False      # whether the decisions say when to ask again
         self.asked = Event()
 
@@ -92,7 +108,8 @@
                 if not isinstance(fault, (OSError, Lost)):
                     self.index = None   # What could not be read may have been a change.
                 if not self.left:
-                    self.host.tell(events.NO_WORD, f"{type(fault).__name__}: {fault}")
+                    soon = self.silent is not None and monotonic() < self.silent + TOLD_IN
+                    self.host.tell(events.NO_WORD, f"{type(fault).__name__}: {fault}", soon)
             finally:
                 self._close()
             self._wait()
@@ -123,12 +140,25 @@
             self.sock = None
 
     def _ask(self, path):
-        self.sock = socket.socket()
-        self.sock.settimeout(ASKED_IN if self.waits() else ANSWER_IN)
-        self.sock.connect(self.place)
-        sending.set_up(self.sock)
-        self.sock.sendall(request_head(b"GET", path, [(b"Host", self.address.encode())], 0))
-        return self.sock
+        if self.left:
+            raise Lost("moved")
+        # Kept here as well: who moves or relists while this waits closes it, and `self.sock` is gone.
+        sock = self.sock = socket.socket()
+        sock.settimeout(ASKED_IN if self.waits() else ANSWER_IN)
+        sock.connect(self.place)
+        sending.set_up(sock)
+        sock.sendall(request_head(b"GET", path, [(b"Host", self.address.encode())], 0))
+        return sock
+
+    @staticmethod
+    def _read(sock, room):
+        """What has come; a time-out counts only if nothing has come by then: the node may be late itself."""
+        try:
+            return sock.recv_into(room)
+        except TimeoutError:
+            if not sending.waiting(sock):
+                raise
+            return sock.recv_into(room)
 
     def _tell(self, line):
         if self.left:
@@ -144,7 +174,7 @@
         sock = self._ask(LIST_PATH)
         answers = Lists()
         while (message := answers.next()) is None:
-            count = sock.recv_into(answers.room())
+            count = self._read(sock, answers.room())
             if not count:
                 raise Lost("closed")
             answers.filled(count)
@@ -156,12 +186,18 @@
     def _follow(self):
         sock = self._ask(LIST_PATH + b"?follow=1&since=%d" % self.index)
         sock.settimeout(SILENT)
-        watch = Watch()
+        watch, room = Watch(), memoryview(bytearray(READ))
         while not watch.over:
-            data = sock.recv(READ)
-            if not data:
+            heard = monotonic()
+            try:
+                count = self._read(sock, room)
+            except TimeoutError:
+                self.silent = self.silent or heard
+                raise
+            if not count:
                 raise Lost("closed")
-            for line in watch.feed(data):
+            self.silent = None
+            for line in watch.feed(bytes(room[:count])):
                 if line.strip():
                     self._tell(line)
         raise Lost("ended")
