After a stop all is answered before the end that the settings' own limits allow

Seen by reading: SIGKILL may come the longest hard limit (3 s at most) and 0.7 s after SIGTERM; OWED_MOST was 3.1 s for all, so that with limits of 0.6 s what has none near it was 1.8 s too late. And a client whose request was half read then was ended without a word. Change: answered by 0.83 of that time, the door closed before it; whoever is half read is refused with 503, and so is what comes later.

--- a/pierglade/net/state/stopping.py
+++ b/pierglade/net/state/stopping.py
@@ -5,13 +5,14 @@
 from pierglade import records as r
 from pierglade.net.state.events import (
     ACTIVE_CALL, ADMISSION_CALL, BACKENDS_CALL, CLOSE_DOOR, Client, ENDED, FRESH, IDLE, LET_GO,
-    Link, OWED, READING, REPLY, STANDBY_CALL, STATUS_CALL, WRITING)
+    Link, OWED, READING, REPLY, STANDBY_CALL, STATUS_CALL)
 
 # Constants. Times are tenths of a millisecond.
 DOOR_OPEN = 7000        # 0.7 s; new connections are taken so long after the stop: the front needs 0.4 s
+LONGEST = 30000         # 3 s; the end may come DOOR_OPEN and the longest hard limit, this at most, after it
 LAST_CALL = 500         # 50 ms; for what was accepted last to be read
 GOES_BY = 100           # 10 ms; about a trip, by which a backend is passed over before its forecast pause
-OWED_MOST = 31000       # 3.1 s; after a stop all is answered by then, as the end may come at 3.7 s
+OWED_PART = 0.83        # share of the time until then by which all is answered; 3.1 s of 3.7 s
 CALLS = {STATUS_CALL: b"GET", STANDBY_CALL: b"PUT", ACTIVE_CALL: b"PUT", BACKENDS_CALL: b"GET",
          ADMISSION_CALL: b"GET"}
 
@@ -98,8 +99,11 @@
             while self.open > self.sockets and self.links[IDLE]:
                 self._end_link(next(iter(self.links[IDLE])), "yielded")
         self._end_idle_clients()
-        self._at(self.now + DOOR_OPEN, self._close_door, None)
-        self._at(self.now + OWED_MOST, self._answer_all, None)
+        # Where no limit is long the end comes soon: by a fixed time, what has none of its own came too late.
+        longest = min(LONGEST, max(o.hard_limit for o in self.terms.offerings))
+        owed = int(OWED_PART * (DOOR_OPEN + longest))
+        self._at(self.now + min(DOOR_OPEN, owed - 2 * LAST_CALL), self._close_door, None)
+        self._at(self.now + owed, self._answer_all, None)
 
     def _end_idle_clients(self):
         for client in (*self.clients[FRESH], *self.clients[IDLE]):
@@ -115,14 +119,16 @@
         self._end_idle_clients()
 
     def _answer_all(self, _):
-        """The process may be ended soon: what is still owed is given up on."""
-        for client in [client for some in self.clients.values() for client in some]:
-            if client.invocation is not None:
-                invocation = client.invocation
-                invocation.by.abandoned(self.now, invocation)
-                self._final(invocation, r.GIVE_UP)
-            elif client.state is not WRITING:
-                self._end_client(client, "stopping")
+        """The process may be ended soon: what is still owed is given up on, what still comes is bounced."""
+        self.closing = True
+        for client in list(self.clients[OWED]):
+            invocation = client.invocation
+            invocation.by.abandoned(self.now, invocation)
+            self._final(invocation, r.GIVE_UP)
+        for client in list(self.clients[READING]):
+            # Its last byte may be there unread: ended without a word it would be lost.
+            self._refuse(client, 503, last=True)
+        self._end_idle_clients()
 
     def salvage(self, subject):
         """After a fault of ours in `apply`: what the event was about is answered and ended all the same."""
