Signals that come while a node starts are neither lost nor its end

Seen by reading: from the reading of the file to gevent's handlers SIGHUP was ignored, so a configuration replaced then was never read; SIGTERM ended the process with its door open and connections in the kernel's queue. Change: the start remembers them, and the host heeds them once it serves.

--- a/pierglade/__main__.py
+++ b/pierglade/__main__.py
@@ -104,8 +104,10 @@
 
 def run(first, again):
     """Serves under the Place of `first()`; at SIGHUP `again(place)` gives the new one. The exit status."""
-    # A new configuration that is told during the start must not end it: the file is read after this.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # What is told during the start must neither end it nor be lost: the file was read before or after it.
+    early = []
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda told, _: early.append(told))
     try:
         place = first()
         # Imported late, so that a bad configuration is told with nothing else loaded.
@@ -122,7 +124,7 @@
         return 2
     gc.freeze()     # What is loaded stays; collections need not look at it again.
     gc.set_threshold(GARBAGE, 20, 20)
-    return host.run(lambda: again(place))
+    return host.run(lambda: again(place), early)
 
 
 if __name__ == "__main__":
--- a/pierglade/net/host.py
+++ b/pierglade/net/host.py
@@ -85,8 +85,8 @@
             ev.EXIT: self.done.set,
             ev.NOTE: lambda event, fields: self.note(event, **fields)}
 
-    def run(self, place_again):
-        """Serves until it was told to stop and nothing is owed."""
+    def run(self, place_again, early=()):
+        """Serves until it was told to stop and nothing is owed. `early`: signals of the start, not heeded."""
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self._stop)
         gevent.signal_handler(signal.SIGHUP, self._reread, place_again)
@@ -103,6 +103,10 @@
         if self.fixed is not None:
             self.tell(ev.HEARD, self.fixed)
         self.note("started", listen="%s:%d" % self.door.sock.getsockname())
+        if signal.SIGHUP in early:
+            self._reread(place_again)
+        if {signal.SIGTERM, signal.SIGINT}.intersection(early):
+            self._stop()
         self.done.wait()
         if self.learning:
             self.learning.last()
