Tests that force the other crossings: links, stops, starts, the watch

Need: each row of the reading list forced by a test over loopback sockets or by the reducer's scenes, in each order. Change: tests only.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,28 +4,34 @@
 nothing was written is told by a later request that came through the same links.
 """
 
-import gc
+import json
 import os
+import signal
 import socket
 import struct
 import subprocess
 import sys
+import tempfile
+import threading
 import time
 from unittest import mock
 
 import gevent
 from gevent.event import Event
 
+from pierglade import records as r
 from pierglade.__main__ import place_of
-from pierglade.net import backends, discovery, http, sending
+from pierglade.choice import ASK_SOON, Node
+from pierglade.net import discovery, http, sending
 from pierglade.net.host import Host
 from pierglade.net.state import events as ev
 from pierglade.net.state import links
-from tests.scene import Desk, TraceTest, entry, message, terms
-from tests.test_net import HOST, answer
+from tests.scene import MS, Desk, TraceTest, entry, message, terms
+from tests.test_net import CHUNKED, HOST, SETTINGS, Peer, answer
 
 LONG = {"expectedTimeUs": 9000000, "hardLimitUs": 9000000}
-OFFERINGS = [{"name": "look", "idempotency": "free", **LONG}, {"name": "pay", "idempotency": "single_shot", **LONG}]
+OFFERINGS = [{"name": "look", "idempotency": "free", **LONG},
+             {"name": "pay", "idempotency": "single_shot", **LONG}]
 
 
 def until(come):
@@ -38,7 +44,7 @@
 
 
 class Backend:
-    """Notes each request that has come whole; `reply(message)` gives bytes, None to end, or an Event to wait on."""
+    """Notes each request that has come whole; `reply(message)` gives bytes, None to end, or an Event."""
 
     def __init__(self, name):
         self.name, self.seen, self.reply = name, [], lambda message: answer(200, b"ok")
@@ -257,8 +263,8 @@
 
     def test_nothing_is_sent_on(self):
         lines = []
-        places = (self.connecting, self.connecting_at_once, self.full_body, self.line, self.ahead, self.far_ahead,
-                  self.decisions, self.again, self.kernel)
+        places = (self.connecting, self.connecting_at_once, self.full_body, self.line, self.ahead,
+                  self.far_ahead, self.decisions, self.again, self.kernel)
         for place in places:
             for offering in ("look", "pay"):
                 if place == self.full_body and offering == "look":
@@ -281,6 +287,268 @@
                         finally:
                             sock.close()
                             house.close()
-                    lines.append(f"{place.__name__} {offering} may_cancel={cancel}: sent on after close, half, "
-                                 f"reset {counts}, faults {faults}")
+                    lines.append(f"{place.__name__} {offering} may_cancel={cancel}: sent on after close, "
+                                 f"half, reset {counts}, faults {faults}")
         self.check("crossings_left", lines)
+
+    def test_a_request_half_written(self):
+        """Its backend reads nothing for a while: what is left of the request does not follow its client."""
+        lines = []
+        for cancel in (True, False):
+            house, go = House(cancel=cancel), Event()
+            backend, set_up = house.backends[0], sending.set_up
+
+            def small(sock):
+                set_up(sock)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+            def late(sock, serve=backend.serve, go=go):
+                go.wait()
+                serve(sock)
+
+            backend.serve = late
+            backend.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            try:
+                with mock.patch.object(sending, "set_up", small):
+                    sock = house.client()
+                    sock.sendall(request("pay", "1", b"x" * 60000))
+                    until(lambda house=house: any(link.io.whole is False and link.trip
+                                                  for link in house.host.reducer.links[ev.BUSY]))
+                    gevent.sleep(0)
+                    sock.close()
+                    until(lambda house=house: not house.host.reducer.clients[ev.FRESH])
+                    go.set()
+                    seen = house.rest()
+                lines.append(f"may_cancel={cancel}: whole at the backend {seen}, faults {house.host.faults}")
+            finally:
+                house.close()
+        self.check("crossings_half_written", lines)
+
+
+class Again(TraceTest):
+    def test_a_link_passed_over_and_closed_while_idle(self):
+        """It never carried anything; written blind, its end would count as a one-shot's that may have run."""
+        house = House()
+        backend, reducer = house.backends[0], house.host.reducer
+        socks, serve = [], backend.serve
+        backend.serve = lambda sock: (socks.append(sock), serve(sock))
+        try:
+            house.warm()
+            held = Event()
+            backend.reply = lambda message: held if b"first" in message.url else answer(200, b"ok")
+            one, two, three = (house.client() for _ in range(3))
+            one.sendall(request("look", "first"))
+            until(lambda: "/look/first" in backend.seen)
+            house.gate.clear()
+            two.sendall(request("look", "passed"))
+            until(house.connecting)
+            held.set()
+            until(lambda: "/look/passed" in backend.seen)
+            house.gate.set()
+            until(lambda: len(reducer.links[ev.IDLE]) == 2 and len(socks) == 1)
+            until(lambda: all(house.host.clock.now() - link.since > links.REST
+                              for link in reducer.links[ev.IDLE]))
+            fresh = next(link for link in reducer.links[ev.IDLE] if not link.io.answers.end)
+            fresh.backend.idle.sort(key=lambda link: link is fresh)
+            socks[0]._sock.shutdown(socket.SHUT_RDWR)
+            until(lambda: len(reducer.clients[ev.FRESH]) + len(reducer.clients[ev.IDLE]) == 3)
+            client = next(iter(reducer.clients[ev.FRESH]))
+            house.host.tell(ev.ASKED, client, message(request("pay", "once")))
+            three.setblocking(False)
+            until(lambda: sending.waiting(mock.Mock(_sock=three)))
+            status, times = three.recv(100).split()[1].decode(), backend.seen.count("/pay/once")
+            lines = [f"answered {status}, seen {times} times"]
+            for sock in (one, two, three):
+                sock.close()
+        finally:
+            house.close()
+        self.check("crossings_passed_over", lines)
+
+    def test_what_is_told_while_a_link_comes_up(self):
+        """Another address, a drain, the trip's end, and the same for a probe: nothing is written there."""
+        lines = []
+        for what in ("moved", "drained", "late", "probe drained"):
+            desk = Desk(["b0", "b1"] if what == "probe drained" else ["b0"], may_cancel=False)
+            if what == "probe drained":
+                for name in ("c0", "c1"):
+                    desk.ask(name)
+                    desk.lose(ev.REFUSED, whole=False, link=0) if name == "c0" else None
+                desk.after(200)
+                link = next(n for n, link in enumerate(desk.links) if link.probing)
+            else:
+                desk.ask("c0", "/pay")
+                link = 0
+            desk.lines = [f"{what}:"]
+            if what == "moved":
+                desk.hear([entry("b0", address="127.0.0.1:8999")], 2, whole=False)
+            elif what == "late":
+                desk.now += 9960        # its time-out is due in the same turn, and not seen yet
+            else:
+                desk.hear([entry(desk.links[link].backend.name, "DRAINING")], 2, whole=False)
+            desk.up(link)
+            lines += [line for line in desk.lines if "note" not in line]
+        self.check("crossings_coming_up", lines)
+
+    def test_an_answer_that_we_end(self):
+        """Spoilt or never ending: the backend has the trip out until our end is there, ahead of the next."""
+        desk = Desk(["b0", "b1"])
+        for name in ("w0", "w1"):
+            desk.ask(name)
+            desk.up()
+        for link in (0, 1):
+            desk.reply(link=link)
+            desk.taken(f"w{link}")
+        desk.after(10)
+        desk.lines.clear()
+        desk.ask("c0")
+        link = next(n for n, link in enumerate(desk.links) if link.trip)
+        desk.tell(ev.REPLYING, desk.links[link])
+        desk.after(102)
+        self.check("crossings_garbled", [line for line in desk.lines if "note" not in line])
+
+    def test_a_second_answer_some_ms_late(self):
+        """Behind the first by 4 ms: it answers nobody, and the next trip is not on its link."""
+        desk = Desk(["b0"])
+        desk.ask("c0")
+        desk.up()
+        desk.reply()
+        desk.taken("c0")
+        desk.after(3.9)
+        desk.ask("c0", "/pay")
+        desk.reply(link=0)
+        desk.up()
+        desk.reply()
+        self.check("crossings_second", desk.lines)
+
+
+class Stopping(TraceTest):
+    def test_the_end_comes_with_the_settings_own_limits(self):
+        """Limits of 0.6 s: the process may be killed at 1.3 s. One with no limit near it on a link that comes
+        up later, one half read, one that asks when the end is near: each is answered, nothing goes out."""
+        rows = [r.Offering(0, "look", r.HARMLESS, "all", 0, 300 * MS, 600 * MS, 1.0),
+                r.Offering(1, "pay", r.ONE_SHOT, "all", 0, 300 * MS, 600 * MS, 1.0)]
+        desk = Desk(["b0"], offerings=rows, may_cancel=False, connect_within=5000 * MS)
+        for name in ("half", "late"):
+            desk.open(name)
+        desk.tell(ev.BEGUN, desk.clients["half"], None)
+        desk.tell(ev.STOP)
+        desk.after(600)
+        desk.ask("body", "/pay", left=600)
+        invocation = desk.clients["body"].invocation
+        invocation.limit += 90000       # as where a body is still coming
+        invocation.trips[0].until += 90000
+        desk.reducer._watch(desk.links[0])
+        desk.reducer._owes(desk.clients["body"])
+        desk.after(480)
+        desk.ask("late", "/pay")
+        desk.up(0)
+        desk.after(100)
+        self.check("crossings_stop", [line for line in desk.lines if "note" not in line])
+
+
+class Starting(TraceTest):
+    def test_signals_of_the_start(self):
+        """SIGHUP as soon as the file was read, SIGTERM behind it: it is read again, the end in order."""
+        code = ("import os, signal, sys\n"
+                "from pierglade import __main__ as m\n"
+                "def first():\n"
+                "    place = m.place_from(os.environ)\n"
+                "    os.kill(os.getpid(), signal.SIGHUP)\n"
+                "    os.kill(os.getpid(), signal.SIGTERM)\n"
+                "    return place\n"
+                "sys.exit(m.run(first, m.place_again))\n")
+        told = {"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c",
+                "settings": SETTINGS}
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "config.json")
+            with open(path, "w") as file:
+                json.dump(told, file)
+            done = subprocess.run([sys.executable, "-c", code], capture_output=True, timeout=20,
+                                  env={**os.environ, "BALANCER_CONFIG": path, "TMPDIR": folder})
+        events = [json.loads(line)["event"] for line in done.stdout.splitlines()]
+        kept = [event for event in events
+                if event in ("started", "configuration read", "stopping", "stopped")]
+        self.check("crossings_start", [f"{', '.join(kept)}, exit {done.returncode}"])
+
+
+class Watching(TraceTest):
+    def test_left_while_it_connects(self):
+        """A move, a relist: what is open is closed under the one that waits, and nothing of it is told."""
+        lines = []
+        for what in ("leave", "relist"):
+            told, gate, peer = [], Event(), Peer(lambda message: answer(200, b'{"index":3}'))
+            connect, tries = gevent.socket.socket.connect, []
+
+            def held(sock, where, gate=gate, connect=connect, tries=tries):
+                tries.append(sock)
+                gate.wait()
+                return connect(sock, where)
+
+            def tell(kind, *what, told=told):
+                told.append(str(kind))
+
+            with mock.patch.object(gevent.socket.socket, "connect", held):
+                watch = discovery.Discovery(peer.address, mock.Mock(tell=tell))
+                running = gevent.spawn(watch.run)
+                until(lambda tries=tries: tries)
+                getattr(watch, what)()
+                gate.set()
+                until(lambda watch=watch, running=running, told=told:
+                      running.dead if watch.left else "heard" in told)
+                running.kill()
+            lines.append(f"{what}: {told[:2]}, a fault {running.exception!r}")
+        self.check("crossings_left_watch", lines)
+
+    def test_a_node_that_is_late_itself(self):
+        """The list has come while the node was busy for longer than it waits: that is no time-out."""
+        told, come = [], Event()
+
+        def tell(kind, *what):
+            told.append(str(kind))
+            come.set()
+
+        ready = threading.Event()
+
+        def serve(message):
+            ready.wait(20)
+            return answer(200, b'{"index":3}') if b"follow" not in message.url else None
+
+        peer = Peer(serve)
+        with mock.patch.object(discovery, "ANSWER_IN", 0.05):
+            watch = discovery.Discovery(peer.address, mock.Mock(tell=tell))
+            running = gevent.spawn(watch.run)
+            until(lambda: peer.seen)
+            ready.set()
+            time.sleep(0.1)     # no turn of the loop: the answer and the time-out are both there at the next
+            come.wait(20)
+            running.kill()
+        self.check("crossings_late_itself", told[:1])
+
+    def test_a_silent_watch_where_the_list_is_asked_for(self):
+        """It is asked for again soon, as what it misses counts as told 6 s after; else ever later."""
+        told, lost = [], Event()
+
+        def tell(kind, why, soon):
+            told.append(f"{kind} {why.partition(':')[0]} soon {soon}")
+            if len(told) > 1:
+                lost.set()
+            watch.ask()
+
+        peer = Peer(lambda message: CHUNKED + b"1\r\n\n\r\n" if len(peer.seen) == 1 else None)
+        with mock.patch.multiple(discovery, SILENT=0.05, AGAIN=0):
+            watch = discovery.Discovery(peer.address, mock.Mock(tell=tell), 7)
+            watch.waits = lambda: True
+            running = gevent.spawn(watch.run)
+            lost.wait(20)
+            running.kill()
+        lines = told[:2]
+        for soon in (False, True):
+            waits = []
+            for seed in range(200):
+                node = Node(seed, terms(asks_list=True), 0)
+                node.unlisted(100, soon)
+                waits.append(node.ask_at - 100)
+            most = 1.5 * (ASK_SOON if soon else 20000)
+            apart = max(waits) - min(waits) > most / 2
+            lines.append(f"soon {soon}: within {most / 10:.0f} ms {max(waits) <= most}, well apart {apart}")
+        self.check("crossings_silent", lines)
