pierglade audit counts what was sent on after its client had left

Change: the auditor counts clients that left while their request waited and those sent on 0.3 s later, and calls the rule 'left' broken beyond a quarter; the plain node has the planted fault 'left'.

--- a/pierglade/audit/rules.py
+++ b/pierglade/audit/rules.py
@@ -9,9 +9,10 @@
 
 from pierglade.audit.records import Hole
 
-RULES = ("one answer", "no effect twice", "drains", "cold", "budget")
+RULES = ("one answer", "no effect twice", "drains", "cold", "budget", "left")
 SHOWN = 12      # lines of a timeline
 SLACK_MS = 50.0
+LEFT_MS, LEFT_SHARE = 300.0, 0.25   # so long after its client left nothing is sent on, but for that share
 ENDS = frozenset(("ran", "never ran", "error", "dropped", "repeat", "called off"))
 
 
@@ -88,9 +89,15 @@
     breaks += _drains(terms, backend_rows)
     breaks += _cold(terms, backend_rows)
     breaks += _budget(terms, client_rows, backend_rows, cases)
+    waited, sent_on = _left(cases)
+    if len(sent_on) > LEFT_SHARE * waited:
+        name, late = sent_on[0]
+        what = f"sent on {late:.0f} ms after its client left, as were {len(sent_on)} of {waited}"
+        breaks.append(Break("left", name, what, cases[name].lines()))
     ran = sum(row["event"] == "ran" for row in backend_rows)
     counts = {"invocations": len(cases), "arrived": sum(row["event"] == "arrived" for row in backend_rows),
-              "ran": ran, "answers": sum(row["event"] == "answer" for row in client_rows)}
+              "ran": ran, "answers": sum(row["event"] == "answer" for row in client_rows),
+              "left waiting": waited, "sent on": len(sent_on)}
     return Verdict(breaks, holes, counts)
 
 
@@ -117,6 +124,22 @@
             yield Break("one answer", name, f"sent to {after[0]['backend']} after its answer", case.lines())
 
 
+def _left(cases):
+    """How many clients left while their request waited here, and the (id, ms after) of those sent on."""
+    waited, sent_on = 0, []
+    for name, case in cases.items():
+        left = min((row["t_ms"] for row in case.client if row["event"] == "left"), default=None)
+        if left is None:
+            continue
+        arrived = [row["t_ms"] for row in case.backends if row["event"] == "arrived"]
+        late = max(arrived, default=left) - left
+        # Whose only trip was out by then did not wait here.
+        waited += late > LEFT_MS or not any(moment <= left for moment in arrived)
+        if late > LEFT_MS:
+            sent_on.append((name, late))
+    return waited, sent_on
+
+
 def _effects(terms, name, case):
     """Rule 2: nothing that may have run goes out again but as its offering allows; never two out at once."""
     trips = [row for row in case.backends if row["event"] == "arrived"]
--- a/pierglade/fleet/plain.py
+++ b/pierglade/fleet/plain.py
@@ -16,8 +16,9 @@
 from pierglade.load.client import CLOSED, Pool, Request
 
 POLICIES = ("turns", "random", "least", "two")
-FAULTS = ("none", "twice", "late", "again", "drained", "flood", "overdraw")
+FAULTS = ("none", "twice", "late", "again", "drained", "flood", "overdraw", "left")
 LATE_S = 1.5            # seconds that an answer is held back by a node that answers late
+LEFT_S = 1.0        # s; the planted fault `left` sends on so long after it took a request, whoever waits
 AGAIN = 0.2             # s; between tries to follow the list
 PATIENCE_S = 10.0       # a trip that is not answered by then is given up
 
@@ -133,6 +134,9 @@
     def take(self, client, data, method):
         if not self.choice.names:
             return client.answer(503, "")
+        if self.fault == "left":
+            self.loop.call_later(LEFT_S, self.send, client, data, method, 0)
+            return
         self.send(client, data, method, 0)
 
     def send(self, client, data, method, tries):
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -34,11 +34,11 @@
     "drained": ({"befall": [{"at_s": 1.2, "what": "drain", "backends": ["b0"]}]}, "/look/x", "GET", None),
     "flood": ({**COLD, "befall": [{"at_s": 0.1, "what": "restart", "backends": ["b0"]}]}, "/look/x", "GET",
               None),
-    "overdraw": ({}, "/look/x", "GET", (0.5, 3, 0.2))}
+    "overdraw": ({}, "/look/x", "GET", (0.5, 3, 0.2)), "left": ({}, "/look/x", "GET", None)}
 
 
 def judged(plan, budget):
-    """The terms, with slack for a machine that is busy with other tests; what is planted goes far beyond it."""
+    """The terms, with slack for a machine busy with other tests; what is planted goes far beyond it."""
     terms = terms_of(plan, 200.0, budget)
     terms.slack_ms = 200.0
     return terms
@@ -71,7 +71,8 @@
             try:
                 where = json.loads(node.stdout.readline())["listen"]
                 moments = loads.moments([loads.Shape(rate=60, seconds=1.5)], "even", 1) + 0.3
-                run.play(run.Load(where, path, moments, method, patience_s=3.0, ledger=ours))
+                run.play(run.Load(where, path, moments, method, patience_s=0.3 if fault == "left" else 3.0,
+                                  ledger=ours))
             finally:
                 node.kill()
                 node.communicate()
