Settings that change while something is owed: the strictest binds, and no list is waited for

Seen by reading: whether gone binds was read from the newest settings alone, so that a trip taken under a binding rule could be written to a backend listed as gone; who waited up to 25 s for the decisions' word to ask again kept waiting after a change from ask to push. Change: gone binds if it does under any settings that still owe something; a change asks the list at once; bounces at a stop say when to come back. Two SIGTERMs, SIGHUP behind SIGTERM, gone and back within one message are traces.

--- a/pierglade/config/structs.py
+++ b/pierglade/config/structs.py
@@ -100,7 +100,7 @@
 
 class Rules(Table):
     """What must hold, with its figures."""
-    drain_grace_ms: _figure("new trips to a draining backend are allowed for so long", ge=0) = 1000.0
+    drain_grace_ms: _figure("a draining backend may be sent to for so long; nodes stop at once", ge=0) = 1000.0
     gone_binds: _flag("whether what is listed as gone, without having drained, is left alone as well") = True
     cold_s: _figure("a backend that has started is cold for so long", ge=0) = 0.0
     cold_from: _figure("its share of what it can do right after its start", gt=0, le=1) = 1.0
--- a/pierglade/net/state/clients.py
+++ b/pierglade/net/state/clients.py
@@ -135,7 +135,7 @@
             good = path == LIVE_PATH or self.ready and not self._empties()
             return self._answer(client, 200 if good else 503, body=b"ok\n" if good else b"not ready\n")
         if self.closing:
-            return self._refuse(client, 503)
+            return self._bounce(client, self.node)
         offering = self.offerings.get(path.partition(b"?")[0].split(b"/")[1])
         if offering is None:
             return self._refuse(client, 404, "the path's first part names no offering")
--- a/pierglade/net/state/links.py
+++ b/pierglade/net/state/links.py
@@ -64,11 +64,14 @@
                    ends=[t.outcome for t in invocation.trips])
         self._count(kind)
         if kind is r.BOUNCE:
-            wait = invocation.by.come_back_in(self.now)
-            self._answer(invocation.mark, 503, [(b"Retry-After", b"%g" % (wait / 10000))] if wait else [])
+            self._bounce(invocation.mark, invocation.by)
         else:
             self._answer(invocation.mark, 504)
 
+    def _bounce(self, client, node):
+        wait = node.come_back_in(self.now)
+        self._answer(client, 503, [(b"Retry-After", b"%g" % (wait / 10000))] if wait else [])
+
     def _return(self, trip, outcome, done=False):
         self.carried.pop(trip, None)
         trip.sent = min(trip.sent, self.now)
--- a/pierglade/net/state/listing.py
+++ b/pierglade/net/state/listing.py
@@ -2,7 +2,7 @@
 
 from pierglade import records as r
 from pierglade.net.state.events import (
-    Backend, MOVE, OPEN_DOOR, OWED, RELIST)
+    ASK, Backend, MOVE, OPEN_DOOR, OWED, RELIST)
 
 # Constants. Times are tenths of a millisecond.
 FIRST_WORD = 3000       # 0.3 s; with the list it was started with, a node waits so long for a newer one
@@ -71,6 +71,8 @@
             self._serve_under(terms, self.now)
             self.node.listed(self.now, [backend.entry for backend in self.backends.values()
                                          if backend.state == r.READY], True)
+            if self.older[-1].terms.asks_list:
+                self._do(ASK)       # Who waits for the word of the earlier settings may wait for long.
             self._note("settings loaded", owed=len(self.clients[OWED]))
         changed = {key for key in FIXED if told.get(key) != self.told.get(key)}
         self._note("configuration read", discovery=discovery, moved=discovery != self.discovery,
@@ -131,7 +133,9 @@
 
     def _binds(self, backend):
         """Whether the rule on draining holds for it. Listed as gone alone, it may be up all the same."""
-        return backend.told is not None and (backend.drains or self.terms.gone_binds)
+        # By the strictest of the settings that still owe something; under which a trip is, is not asked.
+        return backend.told is not None and (
+            backend.drains or any(node.terms.gone_binds for node in (self.node, *self.older)))
 
     def _end_idle(self, backend, reason):
         for link in list(backend.idle):
--- a/pierglade/net/state/stopping.py
+++ b/pierglade/net/state/stopping.py
@@ -127,7 +127,7 @@
             self._final(invocation, r.GIVE_UP)
         for client in list(self.clients[READING]):
             # Its last byte may be there unread: ended without a word it would be lost.
-            self._refuse(client, 503, last=True)
+            self._bounce(client, self.node)
         self._end_idle_clients()
 
     def salvage(self, subject):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -350,9 +350,9 @@
                               for link in reducer.links[ev.IDLE]))
             fresh = next(link for link in reducer.links[ev.IDLE] if not link.io.answers.end)
             fresh.backend.idle.sort(key=lambda link: link is fresh)
-            socks[0]._sock.shutdown(socket.SHUT_RDWR)
             until(lambda: len(reducer.clients[ev.FRESH]) + len(reducer.clients[ev.IDLE]) == 3)
             client = next(iter(reducer.clients[ev.FRESH]))
+            socks[0]._sock.shutdown(socket.SHUT_RDWR)       # and the loop does not turn before it is written
             house.host.tell(ev.ASKED, client, message(request("pay", "once")))
             three.setblocking(False)
             until(lambda: sending.waiting(mock.Mock(_sock=three)))
@@ -389,6 +389,29 @@
             lines += [line for line in desk.lines if "note" not in line]
         self.check("crossings_coming_up", lines)
 
+    def test_settings_that_change_while_a_link_comes_up(self):
+        """Gone binds under the settings that took it, and not under the new ones: it is left alone. Where the
+        list was asked for, who waits for the word to ask again is not left waiting."""
+        desk = Desk(["b0"], may_cancel=False, asks_list=True)
+        desk.ask("c0", "/pay")
+        desk.tell(ev.CONFIGURED, "", {"settings": 1}, terms(gone_binds=False))
+        desk.hear([entry("b0", "DELETED")], 2, whole=False)
+        desk.up()
+        self.check("crossings_settings", desk.lines)
+
+    def test_gone_and_back_within_one_message(self):
+        """What was kept to the process that went is ended, and what is on its way goes to the new one."""
+        desk = Desk(["b0"])
+        for name in ("c0", "c1"):
+            desk.ask(name)
+        desk.up(0)
+        desk.reply(link=0)
+        back = [entry("b0", "DELETED"), entry("b0", address="127.0.0.1:8999", since_ms=2000)]
+        desk.hear(back, 2, whole=False)
+        desk.up(1)
+        desk.up(2)
+        self.check("crossings_one_message", desk.lines)
+
     def test_an_answer_that_we_end(self):
         """Spoilt or never ending: the backend has the trip out until our end is there, ahead of the next."""
         desk = Desk(["b0", "b1"])
@@ -432,6 +455,9 @@
             desk.open(name)
         desk.tell(ev.BEGUN, desk.clients["half"], None)
         desk.tell(ev.STOP)
+        desk.tell(ev.STOP)      # two, and new settings behind them, change nothing of the end
+        desk.tell(ev.CONFIGURED, "", {"settings": 1}, terms(offerings=rows, may_cancel=False,
+                                                            connect_within=5000 * MS, retry_after=10000 * MS))
         desk.after(600)
         desk.ask("body", "/pay", left=600)
         invocation = desk.clients["body"].invocation
