A half written request waits by its socket's own watcher

Ruled out: a wait inside send, which writes the last piece without a look. Change: the socket's own watcher, which its end cancels. Tried: the new test fails with the former lines, both before and in the wait.

--- a/pierglade/net/backends.py
+++ b/pierglade/net/backends.py
@@ -146,14 +146,13 @@
     def _write_rest(self, rest):
         try:
             while rest:
-                socket.wait_write(self.sock.fileno())
                 if self._unwanted():
                     # The backend begins with the last byte: without it nothing runs that nobody waits for.
                     return self.tell(events.LINK_ENDED, self.link, events.CUT, False, "its client left")
                 try:
                     rest = rest[self.sock._sock.send(rest, socket.MSG_DONTWAIT):]
                 except BlockingIOError:
-                    pass
+                    sending.until_writable(self.sock)
             self.whole = True
         except OSError as fault:
             # Part of the last piece may have gone: counted as written, it is never run twice.
--- a/pierglade/net/sending.py
+++ b/pierglade/net/sending.py
@@ -32,6 +32,14 @@
     return (head + bytes(body))[sent:]
 
 
+def until_writable(sock):
+    """Waits until some more may be written; raises OSError where the socket is closed meanwhile.
+
+    By the socket's own watcher: one made for its number would outlive it, and wait for whoever has that next.
+    """
+    sock._wait(sock._write_event)
+
+
 def pass_on(sock, head, flow, chunked, passed):
     """Writes a body as it comes, `passed` told of each piece; raises OSError where the connection ends."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SENT_AHEAD)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,6 +4,7 @@
 nothing was written is told by a later request that came through the same links.
 """
 
+import gc
 import json
 import os
 import signal
@@ -23,6 +24,7 @@
 from pierglade.__main__ import place_of
 from pierglade.choice import ASK_SOON, Node
 from pierglade.net import discovery, http, sending
+from pierglade.net.backends import LinkSocket
 from pierglade.net.host import Host
 from pierglade.net.state import events as ev
 from pierglade.net.state import clients as state_clients
@@ -319,6 +321,26 @@
         finally:
             house.close()
 
+    def test_a_link_ended_while_its_request_is_half_written(self):
+        """By us, before or while its rest waits: whoever writes it ends, and raises nothing."""
+        for turns in (0, 3):
+            ours, theirs = socket.socketpair()
+            link = mock.Mock(probing=True, state=ev.BUSY, cut=True)
+            told = []
+            seat = LinkSocket(link, lambda *what, told=told: told.append(what))
+            seat.sock.close()
+            seat.sock = gevent.socket.socket(fileno=ours.detach())
+            seat.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            seat.write(b"x" * 100000, b"")
+            writing = [each for each in gc.get_objects() if isinstance(each, gevent.Greenlet)
+                       and getattr(each, "_run", None) == seat._write_rest]
+            for _ in range(turns):
+                gevent.sleep(0)
+            seat.end()
+            until(lambda writing=writing: all(each.dead for each in writing))
+            theirs.close()
+            self.assertEqual((len(writing), self.raised, seat.whole), (1, [], False))
+
     def test_a_request_half_written(self):
         """Its backend reads nothing for a while: what is left of the request does not follow its client."""
         lines = []
