--- a/pierglade/lab/tally.py
+++ b/pierglade/lab/tally.py
@@ -11,6 +11,7 @@
 SPAN = 20           # bins; two seconds are what overdriven backends bear
 FOLLOWED = 0.8      # share of that; less is a limit that has not followed
 CALM = 1.5          # times what the backends work on at once; more is a queue that lasts, and overdrives them
+EXACT = 1e-9        # share; sums of some hundred figures are good to far less
 KINDS = ("asked", "settled", "in_time", "bounced", "given_up", "left")
 
 
@@ -72,8 +73,9 @@
             return None, None
         since, mean = int(max(changes) * 10), np.ones(SPAN) / SPAN
         rates = np.convolve(self.bins["in_time"][since:int(self.plan.seconds * 10)], mean, "valid") * 10
-        low = rates < FOLLOWED * self.rate("in_time", self.plan.seconds - LASTS)
-        high = np.convolve(self.beyond[since:], mean, "valid") > CALM
+        # A mean that is the bound itself must not pass it by the order in which a processor adds.
+        low = rates < FOLLOWED * self.rate("in_time", self.plan.seconds - LASTS) * (1 - EXACT)
+        high = np.convolve(self.beyond[since:], mean, "valid") > CALM * (1 + EXACT)
         return tuple(self._until(bad) for bad in (low, high))
 
     @staticmethod
