An answer that is broken off never ends its client's connection as if it were whole

Seen: in a fresh clone test_32_mb_both_ways got 'reset' where its trace had the plain end after half of the bytes. Both come from two times of 5 s, the link's for an answer that stands still and the client's for a slow reader: due in one turn the client is hung up, else the passing greenlet resets it. Where an answer has no length and no chunks the plain end is that of a whole answer. Change: while an answer is passed on, the end of its client's connection is a reset, by whichever time.

--- a/pierglade/net/clients.py
+++ b/pierglade/net/clients.py
@@ -37,6 +37,7 @@
         self.message = None     # that it belongs to
         self.thrown, self.thrown_most = 0, THROWN_MOST  # bytes
         self.flow = None        # the body that comes, where it is too large to hold
+        self.passing = False    # an answer is on its way to it as it comes, and not whole
         self.held = 0           # bytes of the space that it holds
         self.asked = False      # the reducer was told of it
         self.client = None      # the reducer's, set as it is told
@@ -187,6 +188,7 @@
         if self.gate is not None and head[9:12] in FAULTS:
             self.gate.faulted(self.now(), self.address)
         if isinstance(body, Flow):
+            self.passing = True
             gevent.spawn(self._pass_on, head, body, last, chunked)
             return
         try:
@@ -219,6 +221,7 @@
             self._written(last)
 
     def _written(self, last):
+        self.passing = False
         self.tell(events.ANSWERED, self.client)
         if last:
             # Closed at once with something unread, the connection would be reset and the answer lost.
@@ -272,7 +275,8 @@
     def end(self):
         self._free()
         self.read_on.set()
-        sending.hang_up(self.sock)
+        # Broken off by the link's time or by its own, whichever is due first, it must not look whole.
+        (sending.reset if self.passing else sending.hang_up)(self.sock)
         if self.gate is not None:
             self.gate.closed(self.now(), self.address)
             self.gate = None
