--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -30,6 +30,7 @@
 from pierglade.net.state import clients as state_clients
 from pierglade.net.state import links
 from tests.scene import MS, Desk, TraceTest, entry, message, terms
+from tests.test_reducer import warm_desk
 from tests.test_net import CHUNKED, HOST, SETTINGS, Peer, answer
 
 LONG = {"expectedTimeUs": 9000000, "hardLimitUs": 9000000}
@@ -462,15 +463,7 @@
 
     def test_an_answer_that_we_end(self):
         """Spoilt or never ending: the backend has the trip out until our end is there, ahead of the next."""
-        desk = Desk(["b0", "b1"])
-        for name in ("w0", "w1"):
-            desk.ask(name)
-            desk.up()
-        for link in (0, 1):
-            desk.reply(link=link)
-            desk.taken(f"w{link}")
-        desk.after(10)
-        desk.lines.clear()
+        desk = warm_desk()
         desk.ask("c0")
         link = next(n for n, link in enumerate(desk.links) if link.trip)
         desk.tell(ev.REPLYING, desk.links[link])
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -9,18 +9,24 @@
 from tests.scene import Desk, TraceTest, entry, message, terms
 
 
+def warm_desk():
+    """Two backends, with a rested link to each."""
+    desk = Desk(["b0", "b1"])
+    for name in ("w0", "w1"):
+        desk.ask(name)
+        desk.up()
+    for link in (0, 1):
+        desk.reply(link=link)
+        desk.taken(f"w{link}")
+    desk.after(10)
+    desk.lines.clear()
+    return desk
+
+
 class Apart(TraceTest):
     def test_the_next_trip_is_written_once_the_end_of_the_one_before_is_there(self):
         """Called off at b0 and sent to b1 at once: two connections have no order between them."""
-        desk = Desk(["b0", "b1"])
-        for name in ("w0", "w1"):
-            desk.ask(name)
-            desk.up()
-        for link in (0, 1):
-            desk.reply(link=link)
-            desk.taken(f"w{link}")
-        desk.after(10)
-        desk.lines.clear()
+        desk = warm_desk()
         desk.ask("c0")
         link = next(link for link in desk.links if link.trip)
         node, owed = desk.reducer.node, [(r.CALL_OFF, link.trip)]
