--- a/pierglade/net/discovery.py
+++ b/pierglade/net/discovery.py
@@ -9,16 +9,18 @@
 from gevent.event import Event
 
 from pierglade.net import sending
+from pierglade.net.clock import PER_SECOND
 from pierglade.net.state import events
 from pierglade.net.http import Answers, Malformed, request_head
 
 LIST_PATH = b"/registry/instances"
 ANSWER_IN = 0.15    # s; the agent is on this machine and answers at once; with AGAIN under the least grace
-ASKED_IN = 4.0      # s; where the list must be asked for calls wait in line; one given up is answered in vain
+ASKED_IN = 3.5      # s; where the list must be asked for calls wait in line; one given up is answered in vain
 BUSY = (429, 503)   # what is asked for is not to be had now; the version stays good
 SILENT = 3.5        # s; nearly two heartbeats of 2 s; leaves time for tries until what is missed is told
 TOLD_IN = 6.0       # s; so long after a watch fell silent what it misses counts as told
-ASKED_WITHIN = 25.0 # s; the decisions say within 24 s when to ask again
+ASKED_WITHIN = 4.5  # s; the decisions say within 4.4 s when to ask again
+GOES_ON = 0.5       # s; between the pieces of a list; an answer may break off unseen, after a wait in line
 AGAIN = 0.05        # s; between tries; what the agent has counts as told, whether or not a watch is open
 READ = 16384        # bytes read at once
 LINE_MOST = 1 << 20     # bytes of a line; thousands of entries
@@ -93,6 +95,7 @@
         self.index = index  # version to follow from; None: the whole list is wanted
         self.sock = None
         self.left = False
+        self.word = 0.0         # when a watch last said anything, or the call for it began
         self.silent = None      # since when the watch has said nothing; None: it was not lost by that
         self.waits = lambda: False      # whether the decisions say when to ask again
         self.asked = Event()
@@ -108,12 +111,17 @@
                 if not isinstance(fault, (OSError, Lost)):
                     self.index = None   # What could not be read may have been a change.
                 if not self.left:
-                    soon = self.silent is not None and monotonic() < self.silent + TOLD_IN
-                    self.host.tell(events.NO_WORD, f"{type(fault).__name__}: {fault}", soon)
+                    self.host.tell(events.NO_WORD, f"{type(fault).__name__}: {fault}", self._waited())
             finally:
                 self._close()
             self._wait()
 
+    def _waited(self):
+        """Tenths of a ms that are lost of the time in which a change counts as told."""
+        now = monotonic()
+        since = self.word if self.silent is None or now >= self.silent + TOLD_IN else self.silent
+        return int((now - since) * PER_SECOND)
+
     def _wait(self):
         # Both are bounded: should the settings change meanwhile, nobody would say when.
         if self.waits():
@@ -139,15 +147,18 @@
             sending.hang_up(self.sock)
             self.sock = None
 
-    def _ask(self, path):
+    def _ask(self, path, within):
+        """`within`: s from now to the first word. A connection that comes up late leaves less for that."""
         if self.left:
             raise Lost("moved")
+        self.word = monotonic()
         # Kept here as well: who moves or relists while this waits closes it, and `self.sock` is gone.
         sock = self.sock = socket.socket()
         sock.settimeout(ASKED_IN if self.waits() else ANSWER_IN)
         sock.connect(self.place)
         sending.set_up(sock)
         sock.sendall(request_head(b"GET", path, [(b"Host", self.address.encode())], 0))
+        sock.settimeout(max(ANSWER_IN, self.word + within - monotonic()))
         return sock
 
     def _tell(self, line):
@@ -161,12 +172,14 @@
             raise Lost("the list does not fit")
 
     def _whole_list(self):
-        sock = self._ask(LIST_PATH)
+        within, goes_on = (ASKED_IN, GOES_ON) if self.waits() else (ANSWER_IN, ANSWER_IN)
+        sock = self._ask(LIST_PATH, within)
         answers = Lists()
         while (message := answers.next()) is None:
             count = sock.recv_into(answers.room())
             if not count:
                 raise Lost("closed")
+            sock.settimeout(goes_on)
             answers.filled(count)
         if message.status != 200:
             raise Lost(f"status {message.status}")
@@ -174,20 +187,20 @@
         self._close()
 
     def _follow(self):
-        sock = self._ask(LIST_PATH + b"?follow=1&since=%d" % self.index)
-        sock.settimeout(SILENT)
+        sock = self._ask(LIST_PATH + b"?follow=1&since=%d" % self.index, SILENT)
         watch, room = Watch(), memoryview(bytearray(READ))
         while not watch.over:
-            heard = monotonic()
             try:
                 count = sock.recv_into(room)
             except TimeoutError:
-                self.silent = self.silent or heard
+                self.silent = self.silent or self.word
                 raise
             if not count:
                 raise Lost("closed")
-            self.silent = None
-            for line in watch.feed(bytes(room[:count])):
+            lines = watch.feed(bytes(room[:count]))
+            self.word, self.silent = monotonic(), None      # a refusal is none
+            sock.settimeout(SILENT)
+            for line in lines:
                 if line.strip():
                     self._tell(line)
         raise Lost("ended")
--- a/pierglade/net/state/listing.py
+++ b/pierglade/net/state/listing.py
@@ -50,14 +50,14 @@
         self.index, self.no_word = index, None
         self._is_ready()
 
-    def _no_word(self, why, soon=False):
-        """`soon`: it fell silent, and what it misses counts as told before long."""
+    def _no_word(self, why, waited=0):
+        """`waited`: since its last word, or since the call for it began."""
         self._count("no word")
         if why != self.no_word:
             self.no_word = why
             self._note("discovery lost", why=why)
         if self.terms.asks_list:
-            self.node.unlisted(self.now, soon)
+            self.node.unlisted(self.now, waited)
 
     def _configured(self, discovery, told, terms=None):
         """A new configuration: discovery is followed where it is now; the list is kept until it is heard.
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,7 @@
 
 from pierglade import records as r
 from pierglade.__main__ import place_of
-from pierglade.choice import ASK_SOON, Node
+from pierglade.choice import ASK_GAP, ASK_SOON, Node
 from pierglade.net import discovery, http, sending
 from pierglade.net.backends import LinkSocket
 from pierglade.net.host import Host
@@ -592,11 +592,12 @@
         self.check("crossings_late_itself", told[:1])
 
     def test_a_silent_watch_where_the_list_is_asked_for(self):
-        """It is asked for again soon, as what it misses counts as told 6 s after; else ever later."""
+        """It is asked for again the sooner the more of the 6 s is gone in which what it misses counts as told."""
         told, lost = [], Event()
 
-        def tell(kind, why, soon):
-            told.append(f"{kind} {why.partition(':')[0]} soon {soon}")
+        def tell(kind, why, waited):
+            # Both count from the watch's last word, that of the call behind it as well.
+            told.append(f"{kind} {why.partition(':')[0]}, since the last word {waited >= 490}")
             if len(told) > 1:
                 lost.set()
             watch.ask()
@@ -609,13 +610,14 @@
             lost.wait(20)
             running.kill()
         lines = told[:2]
-        for soon in (False, True):
+        for waited, gap in ((0, ASK_GAP), (20000, 16000), (35000, ASK_SOON), (90000, ASK_SOON)):
             waits = []
             for seed in range(200):
                 node = Node(seed, terms(asks_list=True), 0)
-                node.unlisted(100, soon)
+                node.unlisted(100, waited)
                 waits.append(node.ask_at - 100)
-            most = 1.5 * (ASK_SOON if soon else 20000)
+            most = 1.5 * gap
             apart = max(waits) - min(waits) > most / 2
-            lines.append(f"soon {soon}: within {most / 10:.0f} ms {max(waits) <= most}, well apart {apart}")
+            lines.append(f"waited {waited / 10:.0f} ms: within {most / 10:.0f} ms {max(waits) <= most}, "
+                         f"well apart {apart}")
         self.check("crossings_silent", lines)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -363,7 +363,7 @@
         desk.say(f"pace {desk.reducer.node.told_pace}, queue {desk.reducer.node.told_queue}")
         self.check("node_stats", desk.lines)
 
-    def test_a_list_that_is_asked_for_is_asked_for_later_each_time(self):
+    def test_a_list_that_is_asked_for_is_asked_for_later_and_within_the_term(self):
         """Asked for again at once, 70 nodes kept a list of 200 lines a second from serving any of them."""
         desk = Desk(["b0", "b1"], asks_list=True)
         desk.after(10)
