Further attempts, kept connections and what waits for room: tests that no attempt follows its client

The standing tests hold first attempts; new ones force further attempts that wait for a connection, a kept connection while the loop does not turn, and 60 clients of which those that wait for room leave. Found: none sent on.

--- a/pierglade/config/structs.py
+++ b/pierglade/config/structs.py
@@ -55,7 +55,7 @@
 class Discovery(Table):
     """Where the list of backends comes from, if it is not fixed."""
     address: _text("host:port of the agent that tells of backends")
-    asked: _flag("whether its list comes only when asked for, and lost, is asked for again within 4.4 s") = False
+    asked: _flag("whether its list comes only when asked for, and when lost again within 4.4 s") = False
 
 
 class Backend(Table):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -592,7 +592,7 @@
         self.check("crossings_late_itself", told[:1])
 
     def test_a_silent_watch_where_the_list_is_asked_for(self):
-        """It is asked for again the sooner the more of the 6 s is gone in which what it misses counts as told."""
+        """Asked for again the sooner the more is gone of the 6 s in which what it misses counts as told."""
         told, lost = [], Event()
 
         def tell(kind, why, waited):
--- a/tests/test_terms_of_acceptance.py
+++ b/tests/test_terms_of_acceptance.py
@@ -1,11 +1,16 @@
-"""The operators' terms of acceptance that a reducer or a node on loopback can hold; docs/incidents/acceptance.md."""
+"""The operators' terms of acceptance (docs/incidents/acceptance.md) on a reducer or a node on loopback."""
 
 import unittest
 from unittest import mock
 
-from pierglade.net import discovery
+import gevent
+from gevent.event import Event
+
+from pierglade.net import discovery, sending
+from pierglade.net.state import clients as state_clients
 from pierglade.net.state import events as ev
 from tests.scene import MS, Desk
+from tests.test_crossings import House, leave, request, until
 from tests.test_net import CHUNKED, answer
 
 TOLD_IN = 6.0       # s; from when discovery had a change and could be reached
@@ -32,8 +37,8 @@
 
 
 HEARTBEAT = (2, chunk(b"\n"))
-# What a call meets while discovery is in trouble: how long its connection takes, and what comes then, each piece
-# (s after the one before, bytes; None: the end). After the last piece nothing comes any more.
+# What a call meets while discovery is in trouble: how long its connection takes, and what comes then, each
+# piece (s after the one before, bytes; None: the end). After the last piece nothing comes any more.
 EMPTY = answer(503)
 NONE = (LATER, [])
 FAULTS = {
@@ -237,3 +242,121 @@
                     late.append(f"{'asked' if asked else 'pushed'}, {'list' if index is None else 'watch'}: "
                                 f"{name}: {took:.2f} s")
         self.assertEqual(late, [])
+
+
+class Gone(unittest.TestCase):
+    """Who closes or cancels has gone: no attempt of it, first or further, begins any more.
+
+    Beside `test_crossings`, `Left`: there a first attempt waits for its connection, in the line, ahead, behind a
+    body, for its decision or in the kernel, and a further one for its decision.
+    """
+
+    def setUp(self):
+        self.raised = []
+        for patch in (mock.patch.object(type(gevent.get_hub()), "handle_error",
+                                        lambda hub, *what: self.raised.append(what)),
+                      mock.patch.object(state_clients, "SLOW_READER", 10 ** 9)):
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def out(self, house, sock, offering):
+        """The link of its first attempt, which its backend has and does not answer."""
+        held = Event()
+        for backend in house.backends:
+            backend.reply = lambda message: held
+        sock.sendall(request(offering, "1"))
+        until(lambda: f"/{offering}/1" in house.seen())
+        house.first = next(link for link in house.host.reducer.links[ev.BUSY] if link.trip)
+        for backend in house.backends:
+            backend.seen.clear()
+        return house.first
+
+    def further_connecting(self, house, sock, offering):
+        """Its further attempt waits for a connection; the end is read first."""
+        link = self.out(house, sock, offering)
+        house.gate.clear()
+        house.host.tell(ev.LINK_ENDED, link, ev.BROKE, False, "as the test says")
+        until(house.connecting)
+        yield
+        until(lambda: not any(house.host.reducer.clients.values()))
+        house.gate.set()
+
+    def further_connecting_at_once(self, house, sock, offering):
+        """The same; the end is there as the connection comes up."""
+        link = self.out(house, sock, offering)
+        house.gate.clear()
+        house.host.tell(ev.LINK_ENDED, link, ev.BROKE, False, "as the test says")
+        until(house.connecting)
+        yield
+        house.gate.set()
+
+    def further_apart(self, house, sock, offering):
+        """Its further attempt waits until the end of the one before is there."""
+        link = self.out(house, sock, offering)
+        house.host.tell(ev.LINK_ENDED, link, ev.GARBLED, True, "as the test says")
+        yield
+
+    def kept_while_busy(self, house, sock, offering):
+        """On a kept connection; request and end come while the loop does not turn."""
+        sock.sendall(request("look", "warm"))
+        sock.setblocking(False)
+        until(lambda: sending.waiting(mock.Mock(_sock=sock)))
+        sock.recv(1000)
+        until(lambda: house.host.reducer.clients[ev.IDLE])
+        sock.setblocking(True)
+        sock.sendall(request(offering, "1"))
+        yield
+
+    maxDiff = None
+
+    def test_no_attempt_begins(self):
+        sent_on = []
+        for place in (self.further_connecting, self.further_connecting_at_once, self.further_apart,
+                      self.kept_while_busy):
+            for offering, cancel in (("look", True), ("pay", False)):
+                for how in ("close", "half", "reset"):
+                    house = House(2, cancel)
+                    try:
+                        if place in (self.further_apart, self.kept_while_busy):
+                            house.warm()
+                        sock = house.client()
+                        steps = place(house, sock, offering)
+                        next(steps)
+                        leave(sock, how)
+                        next(steps, None)
+                        if seen := house.rest():
+                            sent_on.append(f"{place.__name__} {offering} {how}: {seen}")
+                        sock.close()
+                        self.assertEqual(house.host.faults, 0)
+                    finally:
+                        house.close()
+        self.assertEqual((sent_on, self.raised), ([], []))
+
+    def test_no_attempt_of_what_waits_for_room(self):
+        """More than may be out at once: those that wait leave, then those that are out are answered."""
+        for how in ("close", "half", "reset"):
+            house, held = House(1), Event()
+            house.backends[0].reply = lambda message, held=held: held
+            try:
+                socks = [house.client() for _ in range(60)]
+                for n, sock in enumerate(socks):
+                    sock.sendall(request("look", str(n)))
+                reducer = house.host.reducer
+                until(lambda reducer=reducer: len(reducer.clients[ev.OWED]) == 60)
+                until(lambda house=house: not house.connecting())
+                until(lambda house=house: len(house.seen()) == len(house.host.reducer.carried))
+                waiting = {client.id.decode() for client in reducer.clients[ev.OWED]
+                           if not client.invocation.trips}
+                self.assertGreater(len(waiting), 10)
+                for number in waiting:
+                    leave(socks[int(number)], how)
+                held.set()
+                until(lambda reducer=reducer: not reducer.clients[ev.OWED])
+                for sock in socks:
+                    sock.close()
+                del socks, sock
+                seen = {url.rpartition("/")[2] for url in house.rest()}
+                self.assertEqual((len(seen) + len(waiting), seen & waiting, house.host.faults), (60, set(), 0))
+            finally:
+                house.close()
+        self.assertEqual(self.raised, [])
