Tenants cost a name and a share; state only for those with traffic

Change: pierglade/tenants.py. Tenants holds shares by name; a Tenant exists while requests of it come (two generations of 15 s). Middle keeps the middle of the newest figures of the last 5 s, each seen in the same time. Member is called tenant in every file touched; Terms.members stays as a name that tools of others read.

Test command: 235 passed, no trace changed (member_slow is tenant_slow).

--- a/pierglade/benchlink/link.py
+++ b/pierglade/benchlink/link.py
@@ -27,7 +27,6 @@
         self.terms = terms_from(conf)
         self.node = Node(seed, self.terms, now)
         self.offerings = {o.name: o for o in self.terms.offerings}
-        self.members = {m.name: m for m in self.terms.members}
         self.calls = {}
         self.timer = None
 
@@ -109,7 +108,7 @@
         offering = seat.offerings[fields["grade"]]
         limit = (self.wall + fields["leftUs"]) // 100
         invocation = r.Invocation(
-            fields["call"], offering, seat.members.get(fields.get("party")), self.now,
+            fields["call"], offering, seat.terms.tenants.of(fields.get("party"), self.now), self.now,
             limit, down(fields.get("hintUs") or 0) if (fields.get("marks") or 0) & MARK_HINTED else 0)
         seat.calls[invocation.mark] = invocation
         seat.node.taken(self.now, invocation)
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -18,6 +18,7 @@
 from pierglade.records import (
     ASK, BOUNCE, CALL_OFF, CALLED_OFF, GIVE_UP, GONE, HARMLESS, NEVER_RAN, NEVER_SENT, ONE_SHOT, PROBE, READY,
     REJECTED, SEND, SETTLED, STAMPED, TIMED_OUT, TURNED_AWAY, UNREACHABLE, WITH_PROBES, Trip)
+from pierglade.tenants import Middle
 
 # Constants. Times are tenths of a millisecond.
 WINDOW_LOW, WINDOW_MEDIUM, WINDOW_HIGH = 3000, 300, 30   # samples; the design's forecast windows by band
@@ -48,10 +49,10 @@
 COMES = 100             # invocations; a kind that none of these was of comes no more, or too seldom
 TRIAL_GAP, TRIAL_GAP_MOST = 1500, 40000   # 150 ms, 4 s; between trials, doubled after each bad one
 DEAR = 0.05             # of an invocation's worth for each crossing; less is no reason to crowd the own zone
-DRAGS = 2.5             # times what others take; a member's work that takes so long is slow wherever it goes
+DRAGS = 2.5             # times what others take; a tenant's work that takes so long is slow wherever it goes
 DRAG_HEED = 1 / 8       # share of a new answer in that
 DRAG_MOST, DRAG_TRIES = 20.0, 16        # times; one in so many goes out though it would come late
-DRAG_SPAN = 50000       # 5 s; a member that was slow is as others again within this, unless it is seen slow
+DRAG_SPAN = 50000       # 5 s; a tenant that was slow is as others again within this, unless it is seen slow
 CROWD = 1.0             # times the mean in flight; far more than chance piles up on one backend
 CROWD_FLOOR = 0.5       # trips; below this much over the mean nothing is crowded
 EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
@@ -95,8 +96,8 @@
 STEEP = 4               # power of the level in turns; nothing else evens out what few links bring by chance
 COLD_MARGIN = 0.5       # share of the cold budget used while colder; the rest is for uneven nodes and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
-OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
-RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
+OVER_SHARE = 1.3        # times its share; nodes see tenants unevenly, and two seconds of a small one are few
+RATE_SPAN = 20000       # 2 s; span over which a tenant's rate is seen
 GHOST = 1.5             # times typical; how long a trip that nobody waits for still counts as in flight
 LIGHT = 0.1             # share of the work asked for; so little of it need not wait for room
 WAITED = 0.1            # share of the expected time; an oldest held wait beyond it ranks what is held by gain
@@ -162,10 +163,10 @@
             setattr(self, name, [])
         # The rotation: from the ring of ready backends, as many as this node can keep in view.
         self.done = 0.0             # trips settled lately
-        self.drag = 1.0             # times typical that members' work takes, in the middle one
+        self.drags, self.drag = Middle(DRAG_SPAN), 1.0  # times typical that tenants' work takes
         self.home = terms.zone if terms.crossing >= DEAR else None
-        self.shares = any(member.per_second for member in terms.members)
-        self.asked = sum(member.per_second for member in terms.members) / terms.nodes / 10000
+        self.shares = terms.tenants.total > 0
+        self.asked = terms.tenants.total / terms.nodes / 10000
         self.asked_over = 0.0       # span over which the table's figures are seen, fading with them
         # Without a word of what others are asked for, rounds of trips find the room (docs/notes/limit.md).
         self.learns = bool(not self.shares and terms.nodes > 1 and terms.reports)
@@ -287,7 +288,7 @@
         self.limit.fits(now, sound, part * sound * len(self.ranked) / max(1, len(after)))
         self.most = max(self.most, len(self.ranked))
         if after:
-            # Where members have no shares, what was settled lately: what is asked may be an overload.
+            # Where tenants have no shares, what was settled lately: what is asked may be an overload.
             asked = self.asked if self.shares else self._seen(now, "got")
             self.warm_pace = asked * len(self.ranked) ** 2 / (self.most * len(after) * total)
         self.largest = max((self.size[b] for b in after), default=1.0)
@@ -303,7 +304,7 @@
         return sum(getattr(row, what) for row in self.table) / max(over, SEEN_LEAST)
 
     def _see(self, now):
-        """Where members have no shares, a node's part of all that is asked follows from what comes to it."""
+        """Where tenants have no shares, a node's part of all that is asked follows from what comes to it."""
         self.asked = self.limit.asked = max(SOME, self._seen(now, "asked"))
         told = [b for b in self.turn if self.told_at[b] and now >= self.cold_until[b]]
         paced = [b for b in told if self.told_pace[b] is not None]
@@ -374,10 +375,10 @@
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_SHARE)
         if self.terms.further_span:
             self.earned.append(now)
-        member = invocation.member
-        if member is not None:
-            member.rate = member.rate * max(0.0, 1 - (now - member.seen) / RATE_SPAN) + 1
-            member.seen = now
+        tenant = invocation.tenant
+        if tenant is not None:
+            tenant.rate = tenant.rate * max(0.0, 1 - (now - tenant.seen) / RATE_SPAN) + 1
+            tenant.seen = now
         invocation.held = invocation.arrived
         invocation.expected = invocation.arrived + self._time_left(invocation)
         self.count += 1
@@ -389,29 +390,29 @@
             # Few invocations cost what their offering does in the mean: unweighed, heavy ones look queued.
             row.hinted += (invocation.hint - row.hinted) * (TYPICAL if row.hinted else 1)
             invocation.cost = max(COST_LEAST, min(COST_MOST, invocation.hint / row.hinted))
-        elif member is not None and (drag := self._drag(member, now) / self.drag) > DRAGS:
+        elif tenant is not None and (drag := self._drag(tenant, now) / self.drag) > DRAGS:
             # Some go out all the same, or nobody would see that the others are as quick as ever again.
-            member.slow += 1
-            invocation.cost = drag if member.slow % DRAG_TRIES else min(drag, COST_MOST)
+            tenant.slow += 1
+            invocation.cost = drag if tenant.slow % DRAG_TRIES else min(drag, COST_MOST)
         heappush(self.held[o], (invocation.expected, self.count, invocation))
         self.line.append(invocation)
         self._due(now + SWEEP)
 
-    def _drag(self, member, now):
+    def _drag(self, tenant, now):
         """Fades by itself, so that what is bounced for it is tried again, one more and one more."""
-        return 1 + (member.drag - 1) * max(0.0, 1 - (now - member.dragged) / DRAG_SPAN)
+        return 1 + (tenant.drag - 1) * max(0.0, 1 - (now - tenant.dragged) / DRAG_SPAN)
 
     def _see_drag(self, now, invocation, took, whole):
-        """A member's work may be slow at every backend: no backend is slow or silent for that."""
-        member = invocation.member
-        if member is None or invocation.hint:
+        """A tenant's work may be slow at every backend: no backend is slow or silent for that."""
+        tenant = invocation.tenant
+        if tenant is None or invocation.hint:
             return
         ratio = min(DRAG_MOST, max(took, GRAIN) / max(self.table[invocation.offering.index].typical, GRAIN))
-        drag = self._drag(member, now)
+        drag = self._drag(tenant, now)
         if not whole and ratio < drag:
             return      # So long at least; it tells nothing where that is as usual.
-        member.drag = drag + (ratio - drag) * DRAG_HEED
-        member.dragged = now
+        tenant.drag, tenant.dragged = drag + (ratio - drag) * DRAG_HEED, now
+        self.drags.see(now, tenant.name, tenant.drag)
 
     def _time_left(self, invocation):
         """How much of the expected time is left, which runs from the client's first try."""
@@ -668,7 +669,7 @@
         return gain / row.typical
 
     def _relieve(self, now):
-        """Overload is told by the oldest held wait; what members ask beyond their share goes first."""
+        """Overload is told by the oldest held wait; what tenants ask beyond their share goes first."""
         line = self.line
         while line and (line[0].over or line[0].trips):
             line.popleft()
@@ -682,14 +683,14 @@
             self._due(now + SWEEP)
         if waited > PATIENCE:
             for invocation in line:
-                if not (invocation.over or invocation.trips) and self._over_share(invocation.member, now):
+                if not (invocation.over or invocation.trips) and self._over_share(invocation.tenant, now):
                     self.finals.append(self._final(invocation))
 
-    def _over_share(self, member, now):
-        if member is None or not member.per_second:
+    def _over_share(self, tenant, now):
+        if tenant is None or not tenant.per_second:
             return False
-        rate = member.rate * max(0.0, 1 - (now - member.seen) / RATE_SPAN) / (RATE_SPAN / 10000)
-        return rate * self.terms.nodes > OVER_SHARE * member.per_second
+        rate = tenant.rate * max(0.0, 1 - (now - tenant.seen) / RATE_SPAN) / (RATE_SPAN / 10000)
+        return rate * self.terms.nodes > OVER_SHARE * tenant.per_second
 
     # The rotation.
 
@@ -909,9 +910,8 @@
         self.done *= fade
         for row in self.table:
             row.asked, row.got = row.asked * fade, row.got * fade
-        # In the mean of all a large slow member hid itself; where all are slow, none is.
-        drags = sorted(m.drag for m in self.terms.members if now - m.dragged < DRAG_SPAN)
-        self.drag = max(1.0, drags[(len(drags) - 1) // 2]) if drags else 1.0
+        # In the mean of all a large slow tenant hid itself; where all are slow, none is.
+        self.drag = max(1.0, self.drags.figure(now) or 1.0)
         if self.learns and now >= self.see_at:
             self.see_at = now + SEE
             self._see(now)
--- a/pierglade/lab/seats.py
+++ b/pierglade/lab/seats.py
@@ -30,8 +30,8 @@
 
     def take(self, ask):
         now = self.now()
-        members = self.terms.members
-        invocation = r.Invocation(ask, self.terms.offerings[ask.offering], members[0] if members else None,
+        tenants = self.terms.tenants
+        invocation = r.Invocation(ask, self.terms.offerings[ask.offering], tenants[0] if tenants else None,
                                   now, now + int(ask.limit - self.clock.now), False)
         ask.held = invocation
         self.node.taken(now, invocation)
--- a/pierglade/lab/world.py
+++ b/pierglade/lab/world.py
@@ -11,6 +11,7 @@
 from pierglade.lab.clock import MS, SECOND, Clock
 from pierglade.lab.tally import BIN, Tally
 from pierglade.lab.work import Picks, Sizes
+from pierglade.tenants import Tenants
 
 FIXED = (2, 4, 16)      # trips a backend of the fixed baselines
 BASELINES = {**{f"fixed-{n}": ("turns", n) for n in FIXED}, "none": ("turns", None),
@@ -67,9 +68,9 @@
             r.Offering(n, o.name, o.repeats, o.group, int(o.window_ms * MS), int(o.expected_ms * MS),
                        int(o.hard_limit_ms * MS), o.credit) for n, o in enumerate(plan.offering)]
         kinds = plan.fleet.kind
-        members = [r.Member("all", plan.nodes.members_per_s)] if plan.nodes.members_per_s else []
+        shares = {"all": plan.nodes.members_per_s} if plan.nodes.members_per_s else {}
         return r.Terms(
-            offerings=offerings, members=members, number=number, nodes=plan.nodes.count,
+            offerings=offerings, tenants=Tenants(shares), number=number, nodes=plan.nodes.count,
             most_trips=plan.nodes.most_trips, may_cancel=True, may_probe=True, retry_after=0,
             cold_for=int(max(k.cold_for_s for k in kinds) * SECOND),
             cold_from=min(k.cold_from for k in kinds), tip_multiple=min(k.tip_multiple for k in kinds),
--- a/pierglade/net/reducer.py
+++ b/pierglade/net/reducer.py
@@ -79,7 +79,6 @@
         # A stamped one whose request brings no id of its own: what it does must not be done twice.
         self.unstamped = {o.name.encode(): replace(o, repeats=r.ONE_SHOT) for o in terms.offerings
                           if o.repeats == r.STAMPED}
-        self.members = {m.name.encode(): m for m in terms.members}
         self.press = Press([o.credit for o in terms.offerings], random.Random(f"{self.seed} press").random)
         self.refusals = {}              # prepared, by how long clients are told to stay away
         self.forget = FORGET * max(o.hard_limit for o in terms.offerings)
--- a/pierglade/net/state/clients.py
+++ b/pierglade/net/state/clients.py
@@ -171,8 +171,8 @@
             wait = self._stay_away()
             return self._answer(client, 503, [(b"Retry-After", wait)] if wait else [])
         limit = self.came + left
-        member = self.members.get(fields.get(b"x-customer"))
-        invocation = r.Invocation(client, offering, member, self.came, limit,
+        tenant = self._tenant(fields.get(b"x-customer"))
+        invocation = r.Invocation(client, offering, tenant, self.came, limit,
                                   _hint(fields.get(b"x-props")), by=self.node)
         self._is(client, OWED, self.clients)
         client.invocation, client.id = invocation, name
@@ -183,6 +183,10 @@
             self._body_goes_on(client, SLOW_BODY)
         self.node.taken(self.now, invocation)
 
+    def _tenant(self, name):
+        # What is no UTF-8 becomes a name that no settings can hold.
+        return self.terms.tenants.of(name.decode(errors="surrogateescape"), self.now) if name else None
+
     def glance(self, now, client, requests, came, idle):
         """The prepared refusal of what `requests` holds, or None if that is to be taken the ordinary way.
 
--- a/pierglade/records.py
+++ b/pierglade/records.py
@@ -49,7 +49,7 @@
 
 
 @dataclass(slots=True)
-class Member:
+class Tenant:
     """Who shares the fleet, and the rate that its share allows over all nodes."""
     name: str
     per_second: float
@@ -64,7 +64,7 @@
 class Terms:
     """The settings as received, in our words."""
     offerings: list
-    members: list
+    tenants: "Tenants"      # of pierglade/tenants.py
     number: int         # the node's own, among so many
     nodes: int
     most_trips: int
@@ -89,6 +89,11 @@
     zone: str | None = None     # the node's own
     crossing: float = 0.0       # what each crossing between zones costs, as a share of an invocation's worth
 
+    @property
+    def members(self):
+        """The tenants under the name that tools of others read."""
+        return self.tenants
+
 
 @dataclass(slots=True)
 class Listed:
@@ -114,7 +119,7 @@
     """Something taken from a client. `mark` is the host's own and never read by the decisions."""
     mark: object
     offering: Offering
-    member: Member | None
+    tenant: Tenant | None
     arrived: int
     limit: int          # the moment at which the client gives up
     hint: int = 0       # how much work it is, as far as whoever sent it can tell; 0: not told
--- a/pierglade/terms.py
+++ b/pierglade/terms.py
@@ -5,6 +5,7 @@
 """
 
 from pierglade import records as r
+from pierglade.tenants import Tenants
 
 # What reports hold, as settings name it and as backends on sockets may.
 GAUGES = {"throughput": "pace", "qps": "pace", "backlog": "queue", "queue": "queue", "utilization": "busy",
@@ -128,14 +129,14 @@
     offerings = [_offering(i, row) for i, row in enumerate(rows)]
     if len({o.name for o in offerings}) < len(offerings):
         raise Wrong("settings.offerings holds a name twice")
-    members = [r.Member(m["name"], float(m.get("quotaPerS") or 0)) for m in settings.get("customers") or []]
+    tenants = Tenants({m["name"]: float(m.get("quotaPerS") or 0) for m in settings.get("customers") or []})
     limits, contract = settings["limits"], settings["contract"]
     reports = REPORTS[_one_of(REPORTS, settings, "loadInfo.via") or "silent"]
     fields = _checked(settings, "loadInfo.fields", _names, "no list of names", [])
     gauges = tuple(GAUGES.get(field) for field in fields)
     goal = {k: v for k, v in (settings.get("goal") or {}).items() if k != "tailMiss"}
     return r.Terms(
-        offerings=offerings, members=members, number=_count(settings, "me", 0),
+        offerings=offerings, tenants=tenants, number=_count(settings, "me", 0),
         nodes=_count(settings, "siblings", 1),
         most_trips=_count(settings, "limits.mostTrips", 1), may_cancel=bool(limits.get("mayCancel")),
         may_probe=_checked(settings, "limits.probes", lambda value: type(value) is bool,
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -11,6 +11,7 @@
 from pierglade.net.reducer import Reducer
 from pierglade.net.state import events as ev
 from pierglade.net.flow import Flow
+from pierglade.tenants import Tenants
 
 TRACES = pathlib.Path(__file__).parent / "traces"
 MS = 10     # tenths
@@ -20,7 +21,7 @@
     offerings = [r.Offering(0, "look", r.HARMLESS, "all", 0, 400 * MS, 1000 * MS, 1.0),
                  r.Offering(1, "hold", r.STAMPED, "zone", 300 * MS, 400 * MS, 1000 * MS, 3.0),
                  r.Offering(2, "pay", r.ONE_SHOT, "all", 0, 400 * MS, 1000 * MS, 8.0)]
-    known = dict(offerings=offerings, members=[r.Member("north", 20.0), r.Member("south", 500.0)], number=0,
+    known = dict(offerings=offerings, tenants=Tenants({"north": 20.0, "south": 500.0}), number=0,
                  nodes=1, most_trips=3, may_cancel=True, may_probe=True, retry_after=0,
                  cold_for=8000 * MS, cold_from=0.25, tip_multiple=4.0, worst_offering=0.2)
     known.update(changed)
@@ -57,9 +58,9 @@
         self.now = end
         self.pull()
 
-    def take(self, name, offering=0, left=1000, member=None, hint=0):
+    def take(self, name, offering=0, left=1000, tenant=None, hint=0):
         limit = self.now + left * MS
-        invocation = r.Invocation(name, self.terms.offerings[offering], member, self.now, limit,
+        invocation = r.Invocation(name, self.terms.offerings[offering], tenant, self.now, limit,
                                   hint or 0)
         self.invocations[name] = invocation
         self.node.taken(self.now, invocation)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,6 +4,7 @@
 
 from pierglade import records as r
 from pierglade.choice import Node
+from pierglade.tenants import Tenants
 from tests.scene import MS, Scene, TraceTest, listed
 
 
@@ -49,8 +50,8 @@
         self.check("weights", [line.replace("1 went to", "to") for line in scene.lines])
 
     def learner(self, **changed):
-        """A node of many whose members have no shares, and twelve backends."""
-        return Scene([f"b{n}" for n in range(12)], members=[], nodes=70, may_probe=False, **changed)
+        """A node of many whose tenants have no shares, and twelve backends."""
+        return Scene([f"b{n}" for n in range(12)], tenants=Tenants(), nodes=70, may_probe=False, **changed)
 
     def stream(self, scene, seconds, every_ms, took=40, report=None, hint=None, flood=0):
         """Invocations at an even pace that all settle, each with its backend's report; `flood`: so many more
@@ -93,7 +94,7 @@
 
     def test_first_probes_where_only_probes_tell_the_load(self):
         """One probe in twenty trips, twelve trips a second: the first report came after two seconds."""
-        scene = Scene([f"b{n}" for n in range(6)], members=[], nodes=2, reports=r.WITH_PROBES)
+        scene = Scene([f"b{n}" for n in range(6)], tenants=Tenants(), nodes=2, reports=r.WITH_PROBES)
         for n in range(30):
             scene.take(f"i{n}")
             scene.after(80)
@@ -126,10 +127,10 @@
             lines += [line for line in scene.lines if "probe" not in line]
         self.check("own_zone", lines)
 
-    def test_a_member_slow_at_every_backend(self):
+    def test_a_tenant_slow_at_every_backend(self):
         """Its work made each backend look slow by turns, and all work look longer than it is."""
         scene = Scene([f"b{n}" for n in range(4)])
-        north, south = scene.terms.members
+        north, south = scene.terms.tenants
         out = []
         for phase, took, seconds in (("as others", 20, 3), ("slow", 130, 6), ("as others again", 20, 8),
                                       ("late in any case", 600, 6), ("as others at last", 20, 9)):
@@ -137,15 +138,15 @@
             marked, lines, scene.lines = 0, scene.lines, []
             for n in range(seconds * 50):
                 n = (phase, n)
-                for place, member in enumerate((north, south)[:1 + (n[1] % 3 == 0)]):
-                    invocation = scene.take((n, place), member=member)
-                    got[member.name][0 if invocation.trips else 1] += 1
+                for place, tenant in enumerate((north, south)[:1 + (n[1] % 3 == 0)]):
+                    invocation = scene.take((n, place), tenant=tenant)
+                    got[tenant.name][0 if invocation.trips else 1] += 1
                     out.append((n, place))
                 scene.after(20)
                 for name in list(out):
                     invocation = scene.invocations[name]
                     trip = invocation.trips[-1] if invocation.trips else None
-                    slow = took if invocation.member is south else 20
+                    slow = took if invocation.tenant is south else 20
                     if invocation.out and (trip.called_off or scene.now >= trip.sent + slow * MS):
                         scene.end(name, r.CALLED_OFF if trip.called_off else r.SETTLED, note=False)
                     if invocation.over and not invocation.out:
@@ -155,7 +156,7 @@
             scene.say(f"south {phase}: north {got['north']}, south {got['south']} sent and not at once; "
                       f"usual {scene.node.table[0].typical // MS:.0f} ms, levels "
                       f"{[round(level, 1) for level in scene.node.level]}, some marked {marked * 20} ms")
-        self.check("member_slow", scene.lines)
+        self.check("tenant_slow", scene.lines)
 
     def test_room_by_the_cores_in_use_alone(self):
         """Where probes tell nothing else, a node of forty bounced a third beside idle backends; and by what
@@ -218,7 +219,7 @@
     def test_many_nodes_keep_few_in_view(self):
         lines, names = [], [f"b{n}" for n in range(12)]
         for number in (3, 4):
-            scene = Scene(names, nodes=20, number=number, members=[r.Member("north", 20.0)])
+            scene = Scene(names, nodes=20, number=number, tenants=Tenants({"north": 20.0}))
             scene.say(f"node {number}")
             scene.flow(6)
             invocation = scene.take("a")
@@ -491,7 +492,7 @@
         self.check("slow_and_gone", scene.lines)
 
     def test_cold_backend_gets_its_part_only(self):
-        scene = Scene(["b0", "b1"], members=[r.Member("north", 100.0)])
+        scene = Scene(["b0", "b1"], tenants=Tenants({"north": 100.0}))
         scene.flow(40, took=10)
         scene.list([listed("cold", started=scene.now)])
         scene.flow(40, took=10)
@@ -500,7 +501,7 @@
         self.check("cold", scene.lines)
 
     def test_restart_from_an_old_list(self):
-        scene = Scene(["b0", "gone", listed("cold", started=9000 * MS)], members=[r.Member("north", 20.0)])
+        scene = Scene(["b0", "gone", listed("cold", started=9000 * MS)], tenants=Tenants({"north": 20.0}))
         scene.take("a", 2)
         scene.take("b", 2)
         scene.after(100)
@@ -590,7 +591,7 @@
     def test_what_gains_most_and_is_little_goes_ahead(self):
         """One of forty nodes has room for two trips and waits long for one to end: what gains most, and would
         be late by then, was bounced more often than all else."""
-        scene = Scene([f"b{n}" for n in range(60)], nodes=40, members=[r.Member("north", 800.0)])
+        scene = Scene([f"b{n}" for n in range(60)], nodes=40, tenants=Tenants({"north": 800.0}))
         for n in range(16):
             scene.take(f"look{n}")
         scene.after(60)
@@ -603,9 +604,9 @@
 
     def test_told_by_the_oldest_wait(self):
         scene = Scene(["b0"])
-        north, south = scene.terms.members
+        north, south = scene.terms.tenants
         for n in range(14):
-            scene.take(f"{'north' if n % 2 else 'south'}{n}", member=north if n % 2 else south)
+            scene.take(f"{'north' if n % 2 else 'south'}{n}", tenant=north if n % 2 else south)
             scene.after(10)
         scene.after(300)
         self.check("overload", scene.lines)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,6 +8,7 @@
 
 from pierglade import records as r
 from pierglade.choice import Node
+from pierglade.tenants import Tenants
 from tests.scene import MS, TraceTest, listed, terms
 
 COUNT = pathlib.Path(__file__).parent.parent / "experiments" / "fleet" / "count.py"
@@ -48,7 +49,7 @@
 
     def nodes(self, **changed):
         self.begin = self.now = 10000 * MS
-        nodes = [Node(f"seed {n}", terms(number=n, nodes=40, members=[r.Member("north", 1200.0)], **changed),
+        nodes = [Node(f"seed {n}", terms(number=n, nodes=40, tenants=Tenants({"north": 1200.0}), **changed),
                       self.now) for n in range(40)]
         self.tell(nodes, [listed(f"b{b}") for b in range(60)], True)
         return nodes
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -6,6 +6,7 @@
 from pierglade.net import http
 from pierglade.net.flow import Flow
 from pierglade.net.state import events as ev
+from pierglade.tenants import Tenants
 from tests.scene import Desk, TraceTest, entry, message, terms
 
 
@@ -307,7 +308,7 @@
         desk = Desk(["b0", "b1"])
         before, after = {"settings": 1}, {"settings": 2}
         desk.reducer.settings = 1
-        shared = dict(members=[], nodes=70, reports=r.WITH_PROBES, gauges=("pace", "queue"))
+        shared = dict(tenants=Tenants(), nodes=70, reports=r.WITH_PROBES, gauges=("pace", "queue"))
         desk.ask("c0", "/pay")
         desk.up()
         desk.tell(ev.CONFIGURED, "", after, terms(**shared))
@@ -329,7 +330,7 @@
         self.check("node_settings", desk.lines)
 
     def test_reports_and_hints_are_heeded_where_a_decision_rests_on_them(self):
-        desk = Desk(["b0", "b1"], members=[], nodes=70, reports=r.WITH_ANSWERS, gauges=("pace", "busy"))
+        desk = Desk(["b0", "b1"], tenants=Tenants(), nodes=70, reports=r.WITH_ANSWERS, gauges=("pace", "busy"))
         desk.ask("c0", headers="X-Props: item=a,hintUs=12000\r\n")
         desk.say(f"hint {desk.clients['c0'].invocation.hint}")
         desk.up()
@@ -345,7 +346,7 @@
 
     @mock.patch("pierglade.choice.FIRST_PROBES", 0)      # as after the start
     def test_one_probe_to_twenty_trips_brings_the_report(self):
-        desk = Desk(["b0", "b1"], members=[], nodes=70, reports=r.WITH_PROBES, gauges=("pace", "queue"))
+        desk = Desk(["b0", "b1"], tenants=Tenants(), nodes=70, reports=r.WITH_PROBES, gauges=("pace", "queue"))
         for n in range(21):
             desk.lines = []
             desk.ask("c0")
--- a/tests/test_untrue.py
+++ b/tests/test_untrue.py
@@ -5,6 +5,7 @@
 
 from pierglade import records as r
 from pierglade.net.state import events as ev
+from pierglade.tenants import Tenants
 from tests.scene import MS, Desk, Scene, TraceTest, entry, listed
 
 
@@ -54,7 +55,7 @@
 class Untrue(TraceTest):
     def test_reports_that_say_idle_while_answers_crawl_and_full_while_they_do_not(self):
         """Turns go by what answers take, whatever is told; the limit is not lifted by one that says idle."""
-        scene = Play([f"b{n}" for n in range(6)], members=[], nodes=2, reports=r.WITH_ANSWERS,
+        scene = Play([f"b{n}" for n in range(6)], tenants=Tenants(), nodes=2, reports=r.WITH_ANSWERS,
                      may_probe=False)
         told = {"b0": r.Load(pace=1.0, busy=0.02), "b1": r.Load(pace=8.0, busy=1.0)}
         honest = r.Load(pace=8.0, busy=0.6)
