A changed share is applied as a difference; the file is read in steps

Change: pierglade/change/ reads the document in steps (the parser itself tells whether a cut was right) and compares shares in steps; a Difference names the version it was made from and is refused whole on another. Where shares are all that changed, the node goes on with its Terms: what was taken keeps the Tenant, so the share, of then. Customers and the known list are no longer kept as documents.

--- a/pierglade/__main__.py
+++ b/pierglade/__main__.py
@@ -6,8 +6,7 @@
 import sys
 from dataclasses import dataclass
 
-import orjson
-
+from pierglade.change import reading
 from pierglade.records import Terms
 from pierglade.terms import Wrong, short_of, terms_from
 
@@ -26,7 +25,7 @@
     sockets: int
     known: dict
     terms: Terms
-    told: dict          # the file itself
+    told: dict          # the file itself, without its customers and the list that is known
     management: str | None = None   # where operators call; None: nowhere
     memory_mb: int = MEMORY
     gives_ids: bool = False     # to requests that bring none
@@ -39,29 +38,48 @@
     """What was told is not enough to start on."""
 
 
+def through(steps):
+    """What a generator returns at the end of its steps."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as over:
+            return over.value
+
+
 def place_from(environ):
     """The configuration file, with what the environment says besides."""
+    return through(_place_steps(environ))
+
+
+def _place_steps(environ, known=True):
     path = environ.get("BALANCER_CONFIG")
     if not path:
         raise Unusable("BALANCER_CONFIG is not set")
     try:
         with open(path, "rb") as file:
-            told = orjson.loads(file.read())
+            text = file.read()
+        told, shares = yield from reading.steps(text, known)
     except OSError as fault:
         raise Unusable(f"{path} cannot be read: {fault.strerror}") from None
+    except Wrong as fault:
+        raise Unusable(f"{path}: {fault}") from None
     except ValueError as fault:
         raise Unusable(f"{path} is no JSON: {fault}") from None
     if not isinstance(told, dict):
         raise Unusable(f"{path} holds no object")
-    return place_of(told, path, environ)
+    return place_of(told, path, environ, shares=shares)
 
 
-def place_of(told, path, environ, fixed=False):
+def place_of(told, path, environ, fixed=False, shares=None):
     """A Place from the document `told` of the file at `path`; raises Unusable.
 
-    `fixed`: without a discovery its known list stands, as an operator's own file may say.
+    `fixed`: without a discovery its known list stands, as an operator's own file may say. `shares`: of its
+    customers, where these were taken out of it.
     """
     try:
+        if shares is None:
+            told = reading.without_customers(told, shares := {})
         limits = told.get("limits") or {}
         place = Place(
             name=environ.get("BALANCER_NAME") or told["name"],
@@ -70,7 +88,9 @@
                        or (told.get("discovery") if fixed else told["discovery"])),
             seed=told["seed"], sockets=int(limits.get("sockets") or SOCKETS),
             memory_mb=int(limits.get("memory_mb") or MEMORY),
-            known=told.get("known") or {}, terms=terms_from(told["settings"]), told=told,
+            known=told.get("known") or {}, terms=terms_from(told["settings"], shares),
+            # Kept for as long as the node runs; what is large of it is known elsewhere.
+            told={**told, "known": {}} if told.get("known") is not None else told,
             management=environ.get("BALANCER_MANAGEMENT") or told.get("management"))
     except Wrong as fault:
         raise Unusable(f"{path}: {fault}") from None
@@ -91,7 +111,12 @@
 
 def place_again(first):
     """The configuration file as it is now; what it says of discovery wins over what the start was told."""
-    place = place_from({**os.environ, "BALANCER_DISCOVERY": ""})
+    return through(steps_again(first))
+
+
+def steps_again(first):
+    """The same in steps, between which a node may go on; returns the Place. The list that is known is not read."""
+    place = yield from _place_steps({**os.environ, "BALANCER_DISCOVERY": ""}, known=False)
     missing = short_of(place.told, first.told)
     if missing:
         raise Unusable(f"{os.environ['BALANCER_CONFIG']}: {missing} is missing, which it had at the start")
@@ -99,11 +124,14 @@
 
 
 def main():
-    return run(lambda: place_from(os.environ), place_again)
+    return run(lambda: place_from(os.environ), steps_again)
 
 
 def run(first, again):
-    """Serves under the Place of `first()`; at SIGHUP `again(place)` gives the new one. The exit status."""
+    """Serves under the Place of `first()`; at SIGHUP `again(place)` gives the new one, or the steps to it.
+
+    Returns the exit status.
+    """
     # What is told during the start must neither end it nor be lost: the file was read before or after it.
     early = []
     for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
@@ -122,6 +150,7 @@
     except Unusable as fault:
         print(f"pierglade: {fault}", file=sys.stderr)
         return 2
+    place.known = {}    # The host has what it needs of it.
     gc.freeze()     # What is loaded stays; collections need not look at it again.
     gc.set_threshold(GARBAGE, 20, 20)
     return host.run(lambda: again(place), early)
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -165,8 +165,7 @@
         self.done = 0.0             # trips settled lately
         self.drags, self.drag = Middle(DRAG_SPAN), 1.0  # times typical that tenants' work takes
         self.home = terms.zone if terms.crossing >= DEAR else None
-        self.shares = terms.tenants.total > 0
-        self.asked = terms.tenants.total / terms.nodes / 10000
+        self.shares, self.asked = terms.tenants.total > 0, terms.tenants.total / terms.nodes / 10000
         self.asked_over = 0.0       # span over which the table's figures are seen, fading with them
         # Without a word of what others are asked for, rounds of trips find the room (docs/notes/limit.md).
         self.learns = bool(not self.shares and terms.nodes > 1 and terms.reports)
@@ -202,6 +201,12 @@
 
     # Inputs: they update what is known.
 
+    def shared(self, now):
+        """What tenants may ask has changed; they have shares, and had some before."""
+        self.asked = self.limit.asked = self.terms.tenants.total / self.terms.nodes / 10000
+        self.in_view = max(FEWEST, int(self.asked * IN_VIEW))
+        self._draw_turn(now)
+
     def known(self, keys):
         """What a restart would forget: the table's rows, `keys` of FIRST by name of each ready backend."""
         return [vars(row) for row in self.table], {
--- a/pierglade/net/host.py
+++ b/pierglade/net/host.py
@@ -5,11 +5,13 @@
 import sys
 import traceback
 from collections import deque
+from collections.abc import Generator
 
 import gevent
 from gevent.event import Event
 
 from pierglade.admission.gate import Caps, Gate
+from pierglade.change import shares
 from pierglade.net.backends import LinkSocket
 from pierglade.net.clients import ClientSocket, Door
 from pierglade.net.clock import Clock, Timer, Turns
@@ -22,6 +24,7 @@
 from pierglade.net.reducer import Reducer
 from pierglade.net.state import events as ev
 
+BETWEEN = 0.001     # s; between two steps of a long work, for what has come meanwhile
 AFTER_FAULT = 500   # tenths of a ms; what is due is looked after this much later if nobody can say when
 SPACE_PART = 0.3    # share of the memory for bodies on their way; two processes share it while one takes over
 LATE = 500          # tenths of a ms; the slack that answers have, so a node this late is short of its core
@@ -54,7 +57,7 @@
                                   place.told, self.alone)
         self.reducer.gives_ids = place.gives_ids
         self.reducer.gate = Gate(place.caps) if place.caps is not None else None
-        self.faults = 0
+        self.faults = self.rereads = 0
         self.learning = None
         if place.keeping is not None:
             # loads what a node without a folder need not
@@ -138,15 +141,37 @@
         self.spawn(self.discovery.run)
 
     def _reread(self, place_again):
+        """One reading at a time: told again meanwhile, the file is read once more, as it is then."""
+        self.rereads += 1
+        if self.rereads > 1:
+            return
+        while self.rereads:
+            seen = self.rereads
+            self._read_once(place_again)
+            self.rereads = 0 if self.rereads == seen else 1
+
+    def _in_steps(self, work):
+        """What comes out of a work; of one in steps, with turns for all else between them."""
+        if not isinstance(work, Generator):
+            return work
+        while True:
+            try:
+                next(work)
+            except StopIteration as over:
+                return over.value
+            gevent.sleep(BETWEEN)
+
+    def _read_once(self, place_again):
         """A file that can't be used leaves everything as it is: half replaced, it must not end the node."""
         try:
-            place = place_again()
+            place = self._in_steps(place_again())
         except ValueError as fault:
             self.note("configuration refused", why=str(fault))
         else:
+            told = self._in_steps(shares.steps(self.reducer.terms.tenants, place.terms.tenants.shares))
             self.reducer.gives_ids = place.gives_ids
             self._cap(place.caps)
-            self.tell(ev.CONFIGURED, place.discovery, place.told, place.terms)
+            self.tell(ev.CONFIGURED, place.discovery, place.told, place.terms, told)
             fixed = place.known if place.discovery is None else None
             if fixed is not None and fixed != self.fixed:
                 self.tell(ev.HEARD, fixed)
--- a/pierglade/net/state/listing.py
+++ b/pierglade/net/state/listing.py
@@ -1,6 +1,7 @@
 """The list's part of a node's state: discovery's word on backends, and new configurations."""
 
 from pierglade import records as r
+from pierglade.change.shares import fits_in_place
 from pierglade.net.state.events import (
     ASK, Backend, MOVE, OPEN_DOOR, OWED, RELIST)
 
@@ -59,14 +60,21 @@
         if self.terms.asks_list:
             self.node.unlisted(self.now, soon)
 
-    def _configured(self, discovery, told, terms=None):
+    def _configured(self, discovery, told, terms=None, difference=None):
         """A new configuration: discovery is followed where it is now; the list is kept until it is heard.
 
         New settings hold for what is taken from now on. What was taken before stays with the node that took
-        it, so that its rules hold to its end and nothing of it is lost or sent twice.
+        it, so that its rules hold to its end and nothing of it is lost or sent twice. `difference`: what else
+        tenants may ask; where that is all that changed, the node goes on with it and keeps what it knows.
         """
+        if terms is not None and told.get("settings") == self.settings and difference:
+            if self._takes_in_place(difference, terms):
+                self._note("shares loaded", owed=len(self.clients[OWED]), changed=len(difference))
+            else:
+                self.settings = None    # All is taken anew below.
         if terms is not None and told.get("settings") != self.settings:
             self.settings = told.get("settings")
+            terms.tenants.follow(self.terms.tenants)
             self.older.append(self.node)
             self._serve_under(terms, self.now)
             self.node.listed(self.now, [backend.entry for backend in self.backends.values()
@@ -82,6 +90,16 @@
             self.index = self.no_word = None    # Versions are the old place's own.
             self._do(MOVE, discovery)
 
+    def _takes_in_place(self, difference, terms):
+        """Whether other shares were taken as a difference from those in force."""
+        tenants = self.terms.tenants
+        if difference.base != tenants.version or not fits_in_place(tenants, terms.tenants.shares):
+            return False
+        tenants.apply(difference)
+        if tenants.total:
+            self.node.shared(self.now)
+        return True
+
     def _apply_list(self, document, whole):
         entries = [(r.Listed(e["name"], STATES[e["status"]], e.get("zone"), e.get("group"),
                              int(e.get("since_ms") or 0) * 10, float(e.get("weight", 1.0))),
--- a/pierglade/terms.py
+++ b/pierglade/terms.py
@@ -14,6 +14,7 @@
 REPEATS = {"free": r.HARMLESS, "guarded": r.STAMPED, "single_shot": r.ONE_SHOT}
 
 BUDGET = ("lookBackUs", "extraFloor", "resendRatio")
+FIGURES = {}            # shares by themselves: most of many thousand tenants have one of a few
 FAR_OFF = 10 ** 12      # microseconds; over a week; no client waits for so long, and 1e400 is no figure
 
 
@@ -123,13 +124,28 @@
     return isinstance(value, list) and all(isinstance(name, str) for name in value)
 
 
-def terms_from(settings):
-    """Keys that are not known are skipped."""
+def shares_from(rows, first=0):
+    """Shares by name, of rows of `customers` of which the first stands at the place `first`."""
+    if not isinstance(rows, list):
+        raise Wrong(f"settings.customers is {rows!r}, no list of rows")
+    shares = {}
+    for place, row in enumerate(rows, first):
+        if not isinstance(row, dict) or not isinstance(row.get("name"), str):
+            raise Wrong(f"settings.customers.{place} is {row!r}, no tenant with a name")
+        share = row.get("quotaPerS") or 0
+        if type(share) not in (int, float) or not 0 <= share < FAR_OFF:
+            raise Wrong(f"settings.customers.{place}.quotaPerS is {share!r}, no figure from 0 on")
+        shares[row["name"]] = FIGURES.setdefault(share, float(share)) if len(FIGURES) < 1000 else float(share)
+    return shares
+
+
+def terms_from(settings, shares=None):
+    """Keys that are not known are skipped. `shares`: of the customers, where they were read already."""
     rows = _needed(settings, "offerings", lambda value: isinstance(value, list) and value, "no list of rows")
     offerings = [_offering(i, row) for i, row in enumerate(rows)]
     if len({o.name for o in offerings}) < len(offerings):
         raise Wrong("settings.offerings holds a name twice")
-    tenants = Tenants({m["name"]: float(m.get("quotaPerS") or 0) for m in settings.get("customers") or []})
+    tenants = Tenants(shares_from(settings.get("customers") or []) if shares is None else shares)
     limits, contract = settings["limits"], settings["contract"]
     reports = REPORTS[_one_of(REPORTS, settings, "loadInfo.via") or "silent"]
     fields = _checked(settings, "loadInfo.fields", _names, "no list of names", [])
