The list of all costs in proportion to backends; one that nothing was sent to costs little

Cause: for each new name all indexes were looked through for one to use again; each that left was looked for in the ring from its start; each of an old rotation was looked for in the new one. And each backend had a dict of trips, two deques and a list of sums before anything was sent to it.

Those gone stand in order of leaving, and the first without trips is looked at; a rank, made whole by the name, finds its place on the ring; trips out are kept of backends that have some; the past of a process begins with shared empty values. An index is used again under the same terms as before.

--- a/experiments/learned/size.py
+++ b/experiments/learned/size.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import time
+from collections import deque
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))))
 
@@ -29,7 +30,7 @@
         desk = Desk([entry(f"b{n}") for n in range(count)])
         node = desk.reducer.node
         for b in range(count):
-            node.pauses[b].extend(range(0, 9000, 1000))
+            node.pauses[b] = deque(range(0, 9000, 1000))
             node.work_due[b] = 9000.0
         with tempfile.TemporaryDirectory(dir=".") as path:
             folder = files.Folder(path, "n1")
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -9,7 +9,7 @@
 
 import random
 from bisect import bisect_left, insort
-from collections import deque
+from collections import OrderedDict, deque
 from hashlib import blake2b
 from heapq import heappop, heappush
 from math import exp, log, sqrt
@@ -115,17 +115,16 @@
 COUNTED = (None, SLOW)  # trips on the others come to nothing and must not use up the limit
 
 
-# Of each backend an array, and what a new one begins with: who and where it is, its size; when it started
-# and left; what may go to it while cold; trips out, level, losses; trouble, trials; what reports say (settled
-# in a second for all nodes, cores in use, usually settled by all cores); the forecast's samples.
-FIRST = dict(
-    names=None, rank=None, state=GONE, zone=None, cell=None, size=0.0, owed=0.0,
-    started=0, left_at=0, cold_until=0, allowance=0.0, allowed_at=0,
-    out=None, last_answer=0, quick=1.0, level=1.0, errors=0.0,
-    trouble=None, since=0, until=0, relapses=0, trial_at=0, trial_gap=TRIAL_GAP, trial_due=False,
-    trials_out=0, told_pace=None, told_busy=0.0, told_queue=0.0, told_at=0, usual=0.0, usual_of=0,
-    work=0, samples=None, sums=None, window=WINDOW_MEDIUM, pauses=None, mean_pause=FIRST_PAUSE, work_due=None,
-    forecast=None)
+# Of each backend an array, and what a new one begins with. Its process's past: losses, the forecast's samples.
+HISTORY = dict(errors=0.0, relapses=0, quick=1.0, work=0, samples=(), sums=(0, 0, 0, 0), window=WINDOW_MEDIUM,
+               pauses=(), mean_pause=FIRST_PAUSE, work_due=None, forecast=None)
+# Who and where it is, its size; when it started and left; what may go to it while cold; level; trouble, trials;
+# what reports say (settled in a second for all nodes, cores in use, usually settled by all cores).
+FIRST = HISTORY | dict(
+    names=None, rank=None, state=GONE, zone=None, cell=None, size=0.0, owed=0.0, started=0, left_at=0,
+    cold_until=0, allowance=0.0, allowed_at=0, last_answer=0, level=1.0, trouble=None, since=0, until=0,
+    trial_at=0, trial_gap=TRIAL_GAP, trial_due=False, trials_out=0, told_pace=None, told_busy=0.0,
+    told_queue=0.0, told_at=0, usual=0.0, usual_of=0)
 
 
 class Row:
@@ -157,7 +156,7 @@
                          for kind in (HARMLESS, STAMPED, ONE_SHOT)}
         self.table = [Row(o) for o in terms.offerings]
         # What is known of each backend, under a dense index: the arrays of FIRST.
-        self.index = {}
+        self.index, self.gone = {}, OrderedDict()   # by name; those that left, the longest gone first
         for name in FIRST:
             setattr(self, name, [])
         # The rotation: from the ring of ready backends, as many as this node can keep in view.
@@ -188,7 +187,7 @@
         self.lost = LOST_LEAST      # share of trips that come to nothing at backends that are well
         self.unsettled = 0.0        # invocations that their clients may come back with
         self.overloaded, self.ahead = False, None   # the queue that need not wait for room
-        self.flying, self.ailing = {}, {}       # backends with trips out, and those in trouble
+        self.flying, self.ailing = {}, {}       # of backends the trips out; those in trouble
         self.sweep_at = NEVER
         self.swept = self.see_at = self.room_at = self.seen_at = now
         self.ask_at, self.ask_gap = (now if terms.asks_list else NEVER), ASK_GAP
@@ -245,6 +244,7 @@
             self.left_at[b] = 0
             if self.state[b] != READY:
                 self.state[b] = READY
+                self.gone.pop(b, None)
                 insort(self.ranked, b, key=self.rank.__getitem__)
         self._draw_turn(now)
 
@@ -293,9 +293,9 @@
         self.largest = max((self.size[b] for b in after), default=1.0)
         if after == before:
             return
-        self.turn = after
-        following = [b for b in before[self.at:] + before[:self.at] if b in after]
-        self.at = after.index(following[0]) if following else self.pick(max(1, len(after)))
+        self.turn, kept = after, set(after)
+        following = next((b for b in before[self.at:] + before[:self.at] if b in kept), None)
+        self.at = self.pick(max(1, len(after))) if following is None else after.index(following)
 
     def _seen(self, now, what):
         """How many first tries were asked for, or settled, in a tenth of a millisecond of late."""
@@ -470,8 +470,8 @@
             self._after_loss(now, invocation, outcome)
 
     def _leave_flight(self, b, trip, now):
-        del self.out[b][trip]
-        if not self.out[b]:
+        del self.flying[b][trip]
+        if not self.flying[b]:
             del self.flying[b]
         if self.trouble[b] in COUNTED:
             self.limit.counts(now, -1)
@@ -736,7 +736,7 @@
             if self.slow_ones * 2 <= len(self.turn):
                 return SLOW
         most = 1 + CROWD_FLOOR + CROWD * self.limit.busy / self.limit.sound
-        if self.out[b] and (len(self.out[b]) + 1) * self.level[b] > most:
+        if (out := self.flying.get(b)) and (len(out) + 1) * self.level[b] > most:
             return "crowded"
         forecast = self.forecast[b]
         if forecast is not None:
@@ -780,7 +780,7 @@
             if self.unprobed >= 1:
                 self.unprobed -= 1
                 self.probes.append(min(self.turn, key=self.told_at.__getitem__))
-        self.out[b][trip] = self.flying[b] = None
+        self.flying.setdefault(b, {})[trip] = None
         self._due(now + max(SWEEP, int(SILENT_LEAST * self.table[invocation.offering.index].typical)))
         if invocation.trips and self.terms.further_span:
             self.spent.append(now)
@@ -857,7 +857,7 @@
     def _mark(self, b, trouble, now):
         """Keeps the counts that depend on which trouble a backend has."""
         before = self.trouble[b]
-        self.limit.counts(now, len(self.out[b]) * ((trouble in COUNTED) - (before in COUNTED)))
+        self.limit.counts(now, len(self.flying.get(b, ())) * ((trouble in COUNTED) - (before in COUNTED)))
         self.slow_ones += (trouble is SLOW) - (before is SLOW)
         self.trouble[b] = trouble
         if trouble is None:
@@ -937,7 +937,7 @@
 
         Returns when to listen again.
         """
-        trips = self.out[b]
+        trips = self.flying[b]
         for trip in [t for t in trips if t.outcome and now >= t.until]:
             self._leave_flight(b, trip, now)
         if not trips:
@@ -972,6 +972,8 @@
 
     def _sample(self, b, now):
         self.work[b] += 1
+        if not self.samples[b]:     # On a large fleet most backends are never sent to.
+            self.samples[b], self.sums[b] = deque(), [0, 0, 0, 0]
         work, samples, sums = self.work[b], self.samples[b], self.sums[b]
         samples.append(now)     # Each is one unit of work after the one before.
         sums[0] += work
@@ -990,7 +992,7 @@
     def _pause(self, b, lasted):
         """A pause has ended: it enters the regressions, the band is checked, the next one is forecast."""
         self.mean_pause[b] += (lasted - self.mean_pause[b]) // 4
-        pauses = self.pauses[b]
+        pauses = self.pauses[b] = self.pauses[b] or deque(maxlen=PAUSES_KEPT)
         pauses.append(self.work[b])
         self.forecast[b] = self.work_due[b] = None
         if len(pauses) < PAUSES_NEEDED:
@@ -1020,29 +1022,26 @@
     # The list.
 
     def _new_index(self, name, now):
-        b = next((b for b, state in enumerate(self.state)
-                  if state == GONE and not self.out[b] and now - self.left_at[b] > self.forget),
-                 len(self.names))
-        if b < len(self.names):
-            del self.index[self.names[b]]
+        b = next((b for b in self.gone if b not in self.flying), None)
+        if b is None or now - self.left_at[b] <= self.forget:
+            b = len(self.names)
+        else:
+            del self.index[self.names[b]], self.gone[b]
             self.ailing.pop(b, None)    # What ailed the one before must not cost the new one probes.
         for array, first in FIRST.items():
             getattr(self, array)[b:b + 1] = [first]     # appends where b is new
-        self.names[b], self.rank[b] = name, blake2b(name.encode(), digest_size=8).digest()
+        text = name.encode()    # No two ranks are the same, so that a rank finds its backend.
+        self.names[b], self.rank[b] = name, blake2b(text, digest_size=8).digest() + text
         self.left_at[b], self.allowed_at[b], self.owed[b] = now, now, self.pick(1000) / 1000
-        self.out[b] = {}
         self.index[name] = b
-        self._forget_history(b, now)
         return b
 
     def _forget_history(self, b, now):
         """A process that has started anew pauses anew, and what ailed the one before is not its own."""
         if self.trouble[b] is not None:
             self._mark(b, None, now)
-        self.errors[b], self.relapses[b], self.quick[b] = 0.0, 0, 1.0
-        self.work[b], self.samples[b], self.sums[b] = 0, deque(), [0, 0, 0, 0]
-        self.pauses[b], self.work_due[b], self.forecast[b] = deque(maxlen=PAUSES_KEPT), None, None
-        self.window[b], self.mean_pause[b] = WINDOW_MEDIUM, FIRST_PAUSE
+        for name, first in HISTORY.items():
+            getattr(self, name)[b] = first
 
     def _leave(self, b, state, now):
         """Rule 3: from the moment the list says that it drains or is gone, it is out of the rotation."""
@@ -1053,9 +1052,10 @@
                 if self.trouble[b] in COUNTED:
                     self._begin(b, FAILING, now)
                 return
-            self.ranked.remove(b)
+            del self.ranked[bisect_left(self.ranked, self.rank[b], key=self.rank.__getitem__)]
             self.left_at[b] = now
             if self.trouble[b] is SLOW:
                 # Gone, it must not count to the slow ones for ever, or shared trouble would seem to last.
                 self._mark(b, None, now)
         self.state[b] = state
+        (self.gone.setdefault if state == GONE else self.gone.pop)(b, None)
--- a/pierglade/net/state/stopping.py
+++ b/pierglade/net/state/stopping.py
@@ -63,7 +63,7 @@
             pauses = due is not None and due - GOES_BY * node.level[b] <= now <= due + node.mean_pause[b]
             rows.append({
                 "name": name, "address": backend.address, "zone": node.zone[b], "state": backend.state,
-                "in_view": b in node.turn, "out": len(node.out[b]), "links": backend.links,
+                "in_view": b in node.turn, "out": len(node.flying.get(b, ())), "links": backend.links,
                 "trouble": node.trouble[b], "pauses": pauses,
                 "next_pause_ms": None if due is None else round((due - now) / 10),
                 "level": round(node.level[b], 2), "cold": now < node.cold_until[b], "settled": node.work[b]})
