--- a/pierglade/net/state/listing.py
+++ b/pierglade/net/state/listing.py
@@ -69,7 +69,7 @@
         """
         if terms is not None and told.get("settings") == self.settings and difference:
             if self._takes_in_place(difference, terms):
-                self._note("shares loaded", owed=len(self.clients[OWED]), changed=len(difference))
+                self._note("settings loaded", owed=len(self.clients[OWED]), shares=len(difference))
             else:
                 self.settings = None    # All is taken anew below.
         if terms is not None and told.get("settings") != self.settings:
