--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -15,6 +15,7 @@
 
 import psutil
 
+from pierglade.cli import COMMANDS
 from tests.scene import TraceTest
 
 ROOT = pathlib.Path(__file__).parents[1]
@@ -40,6 +41,26 @@
             capture_output=True, text=True, cwd=ROOT)
         self.check("cli_codes", lines + [f"a node loads {loaded.stdout.strip()}"])
 
+    def test_without_extras_the_help_lists_all_and_each_call_says_what_it_lacks(self):
+        """An install without extras listed nothing and ended with 2: the help asked each for its line."""
+        extras = sorted({package for _, packages in COMMANDS.values() for package in packages})
+        calls = [["--help"], *([name, *more] for name, (_, packages) in COMMANDS.items() if packages
+                               for more in ([], ["--help"], ["x.toml", "--json"]))]
+        # None in the place of a module is what an import system without it looks like.
+        script = (f"import sys; sys.modules.update(dict.fromkeys({extras}))\n"
+                  "import json; import click; from pierglade.cli import main\n"
+                  "from click.testing import CliRunner\n"
+                  f"for call in {calls}:\n"
+                  "    told = CliRunner().invoke(main, call)\n"
+                  "    print(json.dumps([call, told.exit_code, told.output]))")
+        ran = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, cwd=ROOT)
+        (_, code, text), *others = map(json.loads, ran.stdout.splitlines())
+        listed = [line.split()[0] for line in text.split("Commands:")[1].splitlines() if line.strip()]
+        lines = [f"help: {code}, lists all {set(COMMANDS) <= set(listed)}"]
+        for call, code, text in others:
+            lines.append(f"{' '.join(call)}: {code} {text.strip()}")
+        self.check("cli_extras", lines)
+
 
 class Own(BaseHTTPRequestHandler):
     """An operator's own backend: it knows nothing of ids."""
