--- a/pierglade/cli/__init__.py
+++ b/pierglade/cli/__init__.py
@@ -28,6 +28,7 @@
     "learned": ("What nodes have learned and kept.", ("xxhash",)),
     "experiment": ("Plays a plan and writes a page about it.",
                    ("numpy", "hdrh", "psutil", "rich", "structlog", "matplotlib")),
+    "scale": ("Plays hollow nodes and backends by the thousand.", ("numpy", "hdrh", "psutil")),
     "compare": ("Sets two plays or builds side by side.", ("numpy", "hdrh", "psutil", "rich", "structlog")),
 }
 
--- /dev/null
+++ b/pierglade/scale/hollow.py
@@ -0,0 +1,252 @@
+"""`python -m pierglade.scale.hollow SPEC`: hollow nodes, many or one to a process.
+
+A hollow node has its own real watch on a socket (`pierglade.net.discovery`) and reads each message itself. A full
+one holds the list and the settings in a real reducer over the real decisions, as a node does that nobody asks.
+One that only watches accounts what it was told: the version, and where the list is not as at the start.
+SPEC is a JSON file: `plan`, `discovery`, `port_of_backends`, `first`, `count`, `full`, `config`.
+"""
+
+import gc
+import os
+import sys
+from time import monotonic, thread_time
+
+import gevent
+import msgspec
+from gevent.fileobject import FileObjectPosix
+
+from pierglade import records as r
+from pierglade.__main__ import GARBAGE, Unusable, place_again, place_from
+from pierglade.net.clock import Clock, Timer
+from pierglade.net.discovery import Discovery
+from pierglade.net.reducer import Reducer
+from pierglade.net.state import events as ev
+from pierglade.scale import child
+from pierglade.scale.plan import Plan, names
+
+FIRST = 1       # the version of the list that all are started with
+STATES = {r.READY: "SERVING", r.DRAINING: "DRAINING", r.GONE: "DELETED"}
+LOADED = "settings loaded"    # the note of a node that serves under new settings
+
+
+class Hollow:
+    """What both kinds have: a watch, and when which version was in force."""
+
+    def __init__(self, number, discovery):
+        self.number, self.address = number, discovery
+        self.stamps = []        # (version, monotonic moment) of the list, as it came to be in force
+        self.downs = []         # [from, to], as it was restarted
+        self.twice = self.lost = self.faults = 0
+        self.index = FIRST
+        self.begin()
+        self.follow(FIRST)
+
+    def follow(self, index):
+        self.discovery = Discovery(self.address, self, index)
+        self.discovery.waits = lambda: False
+
+    def start(self):
+        gevent.spawn(self._run, self.discovery)
+
+    def _run(self, discovery):
+        while True:
+            try:
+                return discovery.run()
+            except Exception as fault:
+                self.faults += 1
+                print(f"node {self.number}: {fault!r}", file=sys.stderr)
+                gevent.sleep(0.1)
+
+    def down(self):
+        self.discovery.leave()
+        self.downs.append([monotonic(), float("inf")])
+
+    def up(self):
+        """As a new process of that name: it knows the list that all were started with, and follows from there."""
+        self.downs[-1][1] = monotonic()
+        self.index = FIRST
+        self.begin()
+        self.follow(FIRST)
+        self.start()
+
+    def tell(self, kind, *what):
+        if kind == ev.NO_WORD:
+            self.lost += 1
+        elif kind == ev.HEARD:
+            document = what[0]
+            index, told = document["index"], document["endpoints"]
+            if told and not document["snapshot"] and self.index is not None and index <= self.index:
+                self.twice += 1
+        self.take(kind, *what)
+        if kind == ev.HEARD and self.index is not None:
+            self.stamps.append((self.index, monotonic()))
+
+    def delay(self, index, at):
+        """s until that version was in force; None where it was not, False where it was down meanwhile."""
+        if any(begin <= at < end for begin, end in self.downs):
+            return False
+        # What came before the change was told in a version before it.
+        return next((moment - at for version, moment in self.stamps if version >= index), None)
+
+
+class Watching(Hollow):
+    """Holds no list: `other` is where what it was told differs from the start."""
+
+    def __init__(self, number, discovery, at_first):
+        self.at_first = at_first
+        super().__init__(number, discovery)
+
+    def begin(self):
+        self.other = {}
+
+    def take(self, kind, *what):
+        if kind != ev.HEARD:
+            return
+        document = what[0]
+        if document["snapshot"]:
+            told = {entry["name"]: entry for entry in document["endpoints"]}
+            self.other = {name: ["DELETED", 0] for name in self.at_first if name not in told}
+        elif self.index is None:
+            return self.discovery.relist()
+        for entry in document["endpoints"]:
+            now = [entry["status"], entry["since_ms"]]
+            if now != ["SERVING", 0]:
+                self.other[entry["name"]] = now
+            else:
+                self.other.pop(entry["name"], None)
+        self.index = document["index"]
+
+    def wrong(self, changed):
+        return sum(self.other.get(name, ["SERVING", 0])[0] != changed.get(name, ["SERVING", 0])[0]
+                   for name in {*self.other, *changed})
+
+
+class Full(Hollow):
+    """The real reducer, told of the list and of settings alone."""
+
+    def __init__(self, number, place, clock, at_first):
+        self.clock, self.place, self.at_first = clock, place, at_first
+        self.list_s, self.settings_s, self.settings_at = [], [], []
+        super().__init__(number, place.discovery)
+
+    def begin(self):
+        place = self.place
+        self.timer = Timer(self.clock, lambda late: self.tell(ev.WOKE))
+        self.reducer = Reducer(place.seed, place.terms, self.clock.now(), place.sockets, place.discovery, place.told)
+        self.reducer.known(place.known)
+
+    def take(self, kind, *what):
+        began = thread_time()
+        effects = self.reducer.apply(self.clock.now(), kind, *what)
+        took = thread_time() - began
+        self.index = self.reducer.index
+        if kind == ev.HEARD:
+            self.list_s.append(took)
+        for effect, *rest in effects:
+            if effect == ev.RELIST:
+                self.discovery.relist()
+            elif effect == ev.ASK:
+                self.discovery.ask()
+            elif effect == ev.NOTE and rest[0] == LOADED:
+                self.settings_at.append(monotonic())
+        self.timer.set(self.reducer.wake(self.clock.now()))
+
+    def read_again(self):
+        """What a node does at SIGHUP; the one place that knows how."""
+        began = thread_time()
+        place = place_again(self.place)
+        self.tell(ev.CONFIGURED, place.discovery, place.told, place.terms)
+        self.settings_s.append(thread_time() - began)
+
+    def wrong(self, changed):
+        backends = self.reducer.backends
+        count = 0
+        for name in self.at_first:
+            backend, status = backends.get(name), changed.get(name, ["SERVING", 0])[0]
+            count += (STATES[backend.state] if backend is not None else "DELETED") != status
+        return count
+
+
+class Process:
+    def __init__(self, spec):
+        self.plan = plan = msgspec.convert(spec["plan"], Plan)
+        self.all, numbers = [], range(spec["first"], spec["first"] + spec["count"])
+        at_first = names(plan)
+        if spec["full"]:
+            os.environ["BALANCER_CONFIG"] = spec["config"]
+            clock = Clock()
+            for number in numbers:
+                self.all.append(Full(number, place_from(os.environ), clock, at_first))
+        else:
+            self.all = [Watching(number, spec["discovery"], at_first) for number in numbers]
+        for node in self.all:
+            node.start()
+
+    # Commands.
+
+    def settings(self):
+        for node in self.all:
+            # Not within this command: it may take seconds, and whoever told it tells others too.
+            gevent.spawn(node.read_again)
+
+    def down(self, numbers):
+        for node in self._of(numbers):
+            node.down()
+
+    def up(self, numbers):
+        for node in self._of(numbers):
+            node.up()
+
+    def _of(self, numbers):
+        wanted = set(numbers)
+        return [node for node in self.all if node.number in wanted]
+
+    def versions(self):
+        return {"versions": [node.index or 0 for node in self.all]}
+
+    def delays(self, told, settings):
+        """ms until each of these was in force, node by node; -1 where it was not. Then they are forgotten."""
+        of_list, of_settings = [], []
+        for index, at in told:
+            delays = [node.delay(index, at) for node in self.all]
+            of_list.append([-1 if each is None else round(each * 1000, 1) for each in delays if each is not False])
+        full = [node for node in self.all if isinstance(node, Full)]
+        for at, until in settings:
+            moments = [next((m for m in node.settings_at if at <= m < until), None) for node in full]
+            of_settings.append([-1 if m is None else round((m - at) * 1000, 1) for m in moments])
+        work = {"list_ms": [each * 1000 for node in full for each in node.list_s],
+                "settings_ms": [each * 1000 for node in full for each in node.settings_s]}
+        for node in full:
+            node.list_s, node.settings_s, node.settings_at = [], [], []
+        for node in self.all:
+            node.stamps, node.downs = [], []
+        return {"list": of_list, "settings": of_settings, **work}
+
+    def check(self, index, changed):
+        """How many hold that version and that list, and what they were told twice or lost."""
+        return {"nodes": len(self.all), "current": sum(node.index == index for node in self.all),
+                "right": sum(not node.wrong(changed) for node in self.all),
+                "twice": sum(node.twice for node in self.all), "lost": sum(node.lost for node in self.all),
+                "faults": sum(node.faults for node in self.all)}
+
+
+def main():
+    with open(sys.argv[1], "rb") as file:
+        spec = msgspec.json.decode(file.read())
+    commands = FileObjectPosix(0, "rb", closefd=False)
+    child.say({"imported": True})
+    commands.readline()     # told to go on, once it was seen how much a process takes with no node in it
+    try:
+        process = Process(spec)
+    except Unusable as fault:
+        child.fail(str(fault))
+    gc.freeze()
+    gc.set_threshold(GARBAGE, 20, 20)
+    child.say({"nodes": len(process.all)})
+    known = {name: getattr(process, name) for name in ("settings", "down", "up", "versions", "delays", "check")}
+    while line := commands.readline():
+        child.say(child.answer(known, line))
+
+
+if __name__ == "__main__":
+    main()
