--- a/pierglade/cli/scale.py
+++ b/pierglade/cli/scale.py
@@ -10,14 +10,14 @@
 
 @click.command(epilog="Example: pierglade scale experiments/scale/target.toml")
 @click.argument("file", metavar="PLAN")
-@click.option("--axes", is_flag=True, help="Nodes, backends and tenants one after the other, with the shape of each.")
+@click.option("--axes", is_flag=True, help="Nodes, backends, tenants one after the other, and the shapes.")
 @click.option("--json", "as_json", is_flag=True, help="All of it as JSON.")
 def scale(file, axes, as_json):
     """Plays PLAN on this machine's loopback and sets what control needs against its budget.
 
-    Most nodes are hollow: docs/operate/scale.md says what is real and what is not. Refuses with 2 what would take
-    more than half of the memory or 200 processes; ends with 3 a run that does, or one that is not to be trusted,
-    and with 4 where a rule was broken.
+    Most nodes are hollow: docs/operate/scale.md says what is real and what is not. Refuses with 2 what would
+    take more than half of the memory or 200 processes; ends with 3 a run that does, or one that is not to be
+    trusted, and with 4 where a rule was broken.
     """
     import msgspec
 
--- a/pierglade/scale/backends.py
+++ b/pierglade/scale/backends.py
@@ -1,7 +1,8 @@
 """`python -m pierglade.scale.backends SPEC`: thousands of hollow backends on one socket.
 
-Each is an address of 127.1.0.0/16 that answers after a set time with 200. SPEC is a JSON file: `plan`, `port`,
-`ledger`. An address that is no backend's answers alike and is written down nowhere: what is asked straight.
+Each is an address of 127.1.0.0/16 that answers after a set time with 200. SPEC is a JSON file: `plan`,
+`port`, `ledger`. An address that is no backend's answers alike and is written down nowhere: what is asked
+straight.
 """
 
 import asyncio
--- a/pierglade/scale/child.py
+++ b/pierglade/scale/child.py
@@ -1,4 +1,4 @@
-"""What the processes of a scale run have in common: told by lines of JSON on standard input, they answer each.
+"""What the processes of a scale run have in common: they answer each line of JSON on standard input.
 
 The first line on standard output says that they are up. They end with their standard input.
 """
@@ -20,7 +20,7 @@
 
 
 def fail(line):
-    print(f"pierglade: {line}", file=sys.stderr)
+    print(line, file=sys.stderr)
     sys.exit(2)
 
 
--- a/pierglade/scale/discovery.py
+++ b/pierglade/scale/discovery.py
@@ -1,7 +1,7 @@
 """`python -m pierglade.scale.discovery SPEC`: one discovery before all nodes of a scale run.
 
-SPEC is a JSON file: `plan`, `port`, `port_of_backends`, `ledger`, and after a restart `index` and `changed`, the
-entries that are not as at the start. It comes back without its history: every watch gets the whole list.
+SPEC is a JSON file: `plan`, `port`, `port_of_backends`, `ledger`, and after a restart `index` and `changed`,
+the entries that are not as at the start. It comes back without its history: every watch gets the whole list.
 """
 
 import asyncio
@@ -25,8 +25,7 @@
         ahead = time.time() - time.monotonic()
         ledger = Ledger(spec["ledger"], LEDGER_MB, lambda: (ahead + time.monotonic()) * 1000)
         super().__init__(SimpleNamespace(
-            clock=None, ledger=ledger,
-            plan=SimpleNamespace(discovery=SimpleNamespace(heartbeat_s=plan.discovery.heartbeat_s, notice_s=0.0))))
+            clock=None, ledger=ledger, plan=SimpleNamespace(discovery=plan.discovery)))
         self.ledger = ledger
         self.changed_since = {}     # name: [status, since_ms] where that is another one than at the start
         self.all = {entry["name"]: entry for entry in entries(plan, spec["port_of_backends"])}
--- a/pierglade/scale/figures.py
+++ b/pierglade/scale/figures.py
@@ -1,4 +1,7 @@
-"""What a scale run came to: from marks, moments and ledgers to figures, and those against the budget. No I/O."""
+"""What a scale run came to: from marks, moments and ledgers to figures, and these against the budget.
+
+No I/O.
+"""
 
 import math
 from collections import Counter
@@ -31,7 +34,8 @@
 
 def wrong_rows(rows, names, changed):
     """How many backends a node's own call tells otherwise than discovery; `rows`: name to state."""
-    return sum(STATES.get(rows.get(name), "DELETED") != changed.get(name, ["SERVING", 0])[0] for name in names)
+    return sum(STATES.get(rows.get(name), "DELETED") != changed.get(name, ["SERVING", 0])[0]
+               for name in names)
 
 
 def spread(delays):
@@ -102,8 +106,8 @@
                       for role, (some, count) in roles.items()},
         "cpu_s": {role: round(sum(used[name] for name in some), 4) for role, (some, _) in roles.items()},
         "peak_mb": {name: round(mb, 1) for name, mb in sorted(scene["peak"].items())},
-        "sent_s_node": round((scene["after"]["sent"] - scene["before"]["sent"]) / plan.nodes.count / seconds, 1),
-        "heard_s_node": round((scene["after"]["heard"] - scene["before"]["heard"]) / plan.nodes.count / seconds, 1),
+        **{f"{way}_s_node": round((scene["after"][way] - scene["before"][way]) / seconds / plan.nodes.count,
+                                  1) for way in ("sent", "heard")},
         "list": in_force(scene["list_delays"]) if scene["list"] else None,
         "settings": in_force(scene["settings_delays"]) if scene["settings"] else None,
         "back": in_force(scene["back_delays"]) if scene["back"] else None,
@@ -153,7 +157,7 @@
         told[f"{role}: MB over empty"] = memory.get(role)
     told["loaded node: MB over empty"] = memory.get("loaded node")
     told["full hollow: ms in the reducer a list change"] = of_list and of_list["list_ms"]
-    told["full hollow: ms in the reducer and reader a settings change"] = of_settings and of_settings["settings_ms"]
+    told["full hollow: ms to read and apply a settings change"] = of_settings and of_settings["settings_ms"]
     told["discovery: CPU ms a list change"] = each(of_list, "discovery", of_list and of_list["changes"])
     told["discovery: calm, % of a core"] = calm and round(calm["cpu_share"]["discovery"] * 100, 3)
     told["discovery: MB at most"] = memory.get("discovery")
@@ -189,7 +193,8 @@
             share = calm + (max(0.0, of_list) * tells + max(0.0, of_settings) * day.changes / DAY_S) / 10
             add(f"control CPU, {role}, a day's pace", share, budget.cpu_share * 100, "% of a core")
     for role in ("idle node", "loaded node", "full hollow"):
-        add(f"memory over an empty one, {role}, at its most", told[f"{role}: MB over empty"], budget.memory_mb, "MB")
+        add(f"memory over an empty one, {role}, at its most", told[f"{role}: MB over empty"],
+            budget.memory_mb, "MB")
     calm, change = told["watch: bytes/s a node, calm"], told["watch: bytes a node and list change"]
     if None not in (calm, change):
         add("bytes on the watch, a day's pace", calm + change * tells, budget.bytes_s, "B/s")
@@ -248,8 +253,8 @@
     late = tally.figures("late")
     doubts = []
     if tally.summary()["behind"]:
-        doubts.append(f"the load fell behind its plan: p99 {late['p99']:g} ms, sent {tally.counts['sent']} of "
-                      f"{tally.counts['planned']}")
+        doubts.append(f"the load fell behind its plan: p99 {late['p99']:g} ms, sent {tally.counts['sent']} "
+                      f"of {tally.counts['planned']}")
     doubts += [f"hole: {hole.text()}" for hole in verdict.holes]
     return {"title": plan.title, "seed": plan.seed,
             "sizes": {"nodes": plan.nodes.count, "loaded": plan.nodes.loaded, "idle": plan.nodes.idle,
--- a/pierglade/scale/guard.py
+++ b/pierglade/scale/guard.py
@@ -43,15 +43,16 @@
         self.peak_mb = self.peak_count = 0
 
     def look(self):
-        taken = {}
+        taken, count = {}, 0
         for name, pid in self.processes():
             try:
                 taken[name] = taken.get(name, 0.0) + self.rss(pid)
+                count += 1
             except (psutil.NoSuchProcess, ProcessLookupError, FileNotFoundError):
                 continue    # whether it should have ended, others look
         for name, mb in taken.items():
             self.peak[name] = max(self.peak.get(name, 0.0), mb)
-        total, count = sum(taken.values()), len(taken)
+        total = sum(taken.values())
         self.peak_mb, self.peak_count = max(self.peak_mb, total), max(self.peak_count, count)
         if total > self.most_mb:
             raise Over(f"the run took {total:,.0f} MB, {self.most_mb:,.0f} are allowed; it was ended")
--- a/pierglade/scale/hollow.py
+++ b/pierglade/scale/hollow.py
@@ -1,8 +1,8 @@
 """`python -m pierglade.scale.hollow SPEC`: hollow nodes, many or one to a process.
 
-A hollow node has its own real watch on a socket (`pierglade.net.discovery`) and reads each message itself. A full
-one holds the list and the settings in a real reducer over the real decisions, as a node does that nobody asks.
-One that only watches accounts what it was told: the version, and where the list is not as at the start.
+A hollow node has its own real watch on a socket (`pierglade.net.discovery`) and reads each message itself. A
+full one holds the list and the settings in a real reducer over the real decisions, as a node does that nobody
+asks. One that only watches accounts what it was told: the version, and where the list is not as at the start.
 SPEC is a JSON file: `plan`, `discovery`, `port_of_backends`, `first`, `count`, `full`, `config`.
 """
 
@@ -62,7 +62,7 @@
         self.downs.append([monotonic(), float("inf")])
 
     def up(self):
-        """As a new process of that name: it knows the list that all were started with, and follows from there."""
+        """As a new process of that name: it knows the list of the start, and follows from there."""
         self.downs[-1][1] = monotonic()
         self.index = FIRST
         self.begin()
@@ -132,7 +132,8 @@
     def begin(self):
         place = self.place
         self.timer = Timer(self.clock, lambda late: self.tell(ev.WOKE))
-        self.reducer = Reducer(place.seed, place.terms, self.clock.now(), place.sockets, place.discovery, place.told)
+        self.reducer = Reducer(place.seed, place.terms, self.clock.now(), place.sockets, place.discovery,
+                               place.told)
         self.reducer.known(place.known)
 
     def take(self, kind, *what):
@@ -209,7 +210,8 @@
         of_list, of_settings = [], []
         for index, at in told:
             delays = [node.delay(index, at) for node in self.all]
-            of_list.append([-1 if each is None else round(each * 1000, 1) for each in delays if each is not False])
+            of_list.append([-1 if each is None else round(each * 1000, 1)
+                            for each in delays if each is not False])
         full = [node for node in self.all if isinstance(node, Full)]
         for at, until in settings:
             moments = [next((m for m in node.settings_at if at <= m < until), None) for node in full]
@@ -243,7 +245,8 @@
     gc.freeze()
     gc.set_threshold(GARBAGE, 20, 20)
     child.say({"nodes": len(process.all)})
-    known = {name: getattr(process, name) for name in ("settings", "down", "up", "versions", "delays", "check")}
+    known = {name: getattr(process, name)
+             for name in ("settings", "down", "up", "versions", "delays", "check")}
     while line := commands.readline():
         child.say(child.answer(known, line))
 
--- a/pierglade/scale/plan.py
+++ b/pierglade/scale/plan.py
@@ -14,6 +14,7 @@
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Some = Annotated[int, Meta(ge=0)]
 SCENES = ("calm", "list", "settings", "restarts", "zone", "discovery")
+AXES = ("nodes", "backends", "tenants")
 DAY_S = 86400
 MOST_BACKENDS = 60000       # addresses that fit behind 127.1.0.0
 PROCESSES = 200             # a run never has more
@@ -164,10 +165,11 @@
         raise Unreadable(f"{path}: $.nodes: no real node; `loaded` or `idle` is over 0")
     for number, scene in enumerate(plan.scene):
         if scene.what != "calm" and scene.seconds <= TAIL_S + 1:
-            raise Unreadable(f"{path}: $.scene[{number}].seconds: over {TAIL_S + 1:g}, as nothing begins in its "
-                             f"last {TAIL_S:g}")
-    for name, (least, target) in msgspec.structs.asdict(plan.axes).items() if plan.axes else ():
-        if name != "shares" and least > target:
+            raise Unreadable(f"{path}: $.scene[{number}].seconds: over {TAIL_S + 1:g}, as nothing begins in "
+                             f"its last {TAIL_S:g}")
+    for name in AXES if plan.axes else ():
+        least, target = getattr(plan.axes, name)
+        if least > target:
             raise Unreadable(f"{path}: $.axes.{name}: the least, {least}, is over the target, {target}")
     return plan
 
@@ -175,7 +177,8 @@
 def refuse(plan, path="plan"):
     """Raises Unreadable if a run would take more than it may."""
     if plan.processes() > plan.limits.processes:
-        raise Unreadable(f"{path}: it would take {plan.processes()} processes, {plan.limits.processes} are allowed")
+        raise Unreadable(f"{path}: it would take {plan.processes()} processes, {plan.limits.processes} are "
+                         f"allowed")
     if plan.memory_mb() > plan.most_mb():
         raise Unreadable(f"{path}: it would take about {plan.memory_mb():,.0f} MB, {plan.most_mb():,.0f} are "
                          f"allowed (at most half of the machine's)")
@@ -213,8 +216,8 @@
     offerings = [{"name": name, "idempotency": repeats, "expectedTimeUs": limit_us, "hardLimitUs": limit_us,
                   "credit": 1} for name, repeats in (("look", "free"), ("pay", "single_shot"))]
     return {
-        "name": f"n{number}", "listen": "127.0.0.1:0", "discovery": discovery, "seed": f"{plan.seed}-{number}",
-        "management": management, "limits": {"sockets": 4096, "memory_mb": 192},
+        "name": f"n{number}", "listen": "127.0.0.1:0", "discovery": discovery, "management": management,
+        "seed": f"{plan.seed}-{number}", "limits": {"sockets": 4096, "memory_mb": 192},
         "known": {"index": 1, "snapshot": True, "endpoints": entries},
         "settings": {
             "offerings": offerings,
@@ -240,7 +243,7 @@
 def at_axis(plan, axis, share):
     """The plan of one point: `axis` at that share of its target, the others at the least."""
     point = msgspec.convert(msgspec.to_builtins(plan), Plan)
-    for name in ("nodes", "backends", "tenants"):
+    for name in AXES:
         least, target = getattr(plan.axes, name)
         getattr(point, name).count = max(least, round(target * share)) if name == axis else least
     point.backends.services = min(plan.backends.services, max(1, point.backends.count // 32))
--- a/pierglade/scale/play.py
+++ b/pierglade/scale/play.py
@@ -20,7 +20,7 @@
 from pierglade.load.plan import Recorded, Shape, moments
 from pierglade.scale import figures
 from pierglade.scale.guard import Guard, Over, Watch, cpu_s, pss_mb, rss_mb, wait
-from pierglade.scale.plan import TAIL_S, address, document, entries, events_of, names, refuse, zone_of
+from pierglade.scale.plan import TAIL_S, Tenants, document, entries, events_of, names, refuse, zone_of
 
 ANSWER_IN_S = 60.0      # a process of ours that has not answered a command by then hangs
 READY_IN_S = 30.0
@@ -41,8 +41,11 @@
 
 
 def play(plan, path="plan", say=lambda line: None):
-    """Plays a Plan; returns plain data (`figures.summary`). Raises Unreadable before anything is started, Failed
-    where nothing is to be learned, Over where it took more than it may, Stopped by a signal."""
+    """Plays a Plan; returns plain data (`figures.summary`).
+
+    Raises Unreadable before anything is started, Failed where nothing is to be learned, Over where it took
+    more than it may, Stopped by a signal.
+    """
     refuse(plan, path)
     with Children() as children:
         one = _Play(plan, children, say)
@@ -206,7 +209,7 @@
 
     def _empty_node(self):
         """MB of a node that has one backend and one tenant, and a discovery that is not there."""
-        small = msgspec.structs.replace(self.plan, tenants=msgspec.structs.replace(self.plan.tenants, count=1))
+        small = msgspec.structs.replace(self.plan, tenants=Tenants(count=1))
         path = self.children.path("empty.json")
         with open(path, "wb") as file:
             file.write(orjson.dumps(document(small, 0, f"127.0.0.1:{free_port()}", None, self.entries[:1])))
@@ -247,14 +250,16 @@
         plan = self.plan
         targets = [(self.real[number], f"n{number}") for number in range(plan.nodes.loaded)]
         for k, (target, name) in enumerate([*targets, (f"{OUTSIDE}:{self.port}", "straight")]):
-            at = moments([Shape(seconds=plan.seconds(), rate=plan.load.rate)], plan.load.spacing, [plan.seed, k])
+            steady = Shape(seconds=plan.seconds(), rate=plan.load.rate)
+            at = moments([steady], plan.load.spacing, [plan.seed, k])
             chance = np.random.default_rng([plan.seed, k, 1])
             one_shot = chance.random(len(at)) < plan.load.one_shot
             tenants = chance.integers(plan.tenants.count, size=len(at))
             rows = [Recorded(float(moment), "pay" if once else "look", f"tenant-{tenant}")
                     for moment, once, tenant in zip(at, one_shot, tenants)]
-            yield loads.Load(target, "/", at, patience_s=plan.load.limit_ms / 1000, seed=plan.seed + k, rows=rows,
-                             repeats=REPEATS, node=name, ledger=self.children.path(f"clients-{name}.jsonl"))
+            yield loads.Load(target, "/", at, patience_s=plan.load.limit_ms / 1000, seed=plan.seed + k,
+                             rows=rows, repeats=REPEATS, node=name,
+                             ledger=self.children.path(f"clients-{name}.jsonl"))
 
     # The scenes.
 
@@ -336,7 +341,7 @@
         self.ask_all(self.full, do="settings")
 
     def _restart(self, number):
-        """A backend, or a node as often as they are among both; the first time a real one and a full one too."""
+        """A backend, or a node as often as they are among both; first a real one and a full one too."""
         now, every = time.monotonic(), self.plan.backends.count + self.plan.nodes.count
         if number == 0:
             if self.plan.nodes.idle:
@@ -458,7 +463,8 @@
             for k, at in enumerate(moments):
                 of_settings[k].append(figures.since(at, loaded))
             scene.setdefault("events", {})[number] = figures.counted(lines)
-        scene["list_delays"], scene["back_delays"] = of_list[:len(scene["list"])], of_list[len(scene["list"]):]
+        first = len(scene["list"])
+        scene["list_delays"], scene["back_delays"] = of_list[:first], of_list[first:]
         scene["settings_delays"] = of_settings
 
     def _log_lines(self, number):
@@ -489,10 +495,10 @@
         return {"after_s": round(time.monotonic() - since, 2), **state}
 
     def _check(self):
-        """Who holds which version and which list: hollow nodes by themselves, real ones by the operators' call."""
+        """Who holds which version and which list; real ones tell it in the operators' call."""
         state = self.ask("discovery", do="state")
-        answers = self.ask_all(self.groups, do="check", index=state["index"], changed=state["changed"]).values()
-        hollow = {key: sum(answer[key] for answer in answers)
+        answers = self.ask_all(self.groups, do="check", **state)
+        hollow = {key: sum(answer[key] for answer in answers.values())
                   for key in ("nodes", "current", "right", "twice", "lost", "faults")}
         right = 0
         for number in self.real:
@@ -501,8 +507,9 @@
                 rows = {row["name"]: row["state"] for row in orjson.loads(body)["backends"]}
                 right += figures.wrong_rows(rows, self.names, state["changed"]) == 0
         pss = {name: pss_mb(pid) for name, pid in self._processes()}
-        return {"version": state["index"], "hollow": hollow, "real": {"nodes": len(self.real), "right": right},
-                "watches": self.ask("discovery", do="figures")["watches"], "pss_mb": pss}
+        return {"version": state["index"], "hollow": hollow, "pss_mb": pss,
+                "real": {"nodes": len(self.real), "right": right},
+                "watches": self.ask("discovery", do="figures")["watches"]}
 
     def _requests(self):
         """(the rows of clients through nodes, those straight, the verdict of the auditor)."""
--- a/pierglade/scale/report.py
+++ b/pierglade/scale/report.py
@@ -3,9 +3,7 @@
 import math
 
 from pierglade.scale.fit import fit
-from pierglade.scale.plan import at_axis, refuse
-
-AXES = ("nodes", "backends", "tenants")
+from pierglade.scale.plan import AXES, at_axis, refuse
 
 
 def axes(plan, path, play, say):
@@ -24,7 +22,7 @@
 
 
 def fits(runs):
-    """[{axis, what, shape, base, slope, error, exponent, points}] for each figure that all points of an axis tell."""
+    """How each figure grows that all points of an axis tell, as plain data."""
     told = []
     for axis in AXES:
         some = [run for run in runs if run["axis"] == axis]
@@ -47,20 +45,21 @@
                 figures = "  ".join(f"{y:g}" for _, y in one["points"])
                 each = {"constant": "", "linear": f" + {one['slope']:.3g} each",
                         "square": f" + {one['slope']:.3g} each square"}[one["shape"]]
-                yield (f"  {one['what']:56} {one['shape']:9} {one['base']:.3g}{each}, error {one['error']:.0%}"
-                       f"   [{figures}]")
+                yield (f"  {one['what']:56} {one['shape']:9} {one['base']:.3g}{each}, "
+                       f"error {one['error']:.0%}   [{figures}]")
 
 
 def lines(told):
     """The tables for people."""
     sizes = told["sizes"]
     yield (f"{sizes['nodes']} nodes: {sizes['loaded']} real with requests, {sizes['idle']} real without, "
-           f"{sizes['full hollow']} hollow with list and settings, {sizes['watch only']} that hold a watch alone; "
-           f"{sizes['backends']} backends in {sizes['services']} services, {sizes['tenants']} tenants")
+           f"{sizes['full hollow']} hollow with list and settings, {sizes['watch only']} that hold a watch "
+           f"alone; {sizes['backends']} backends in {sizes['services']} services, {sizes['tenants']} tenants")
     yield (f"an empty node {told['empty_node_mb']:g} MB; all of it {told['most_mb']} MB and "
            f"{told['most_processes']} processes at most (estimated {told['estimated_mb']} MB)")
     yield ""
-    yield f"{'scene':11}{'changes':>8}  {'in force at first, half, 99 in 100, last (ms)':48}{'p99 ms':>20}  worst ms"
+    yield (f"{'scene':11}{'changes':>9}  {'in force at first, half, 99 in 100, last (ms)':48}"
+           f"{'p99 ms':>20}  worst ms")
     for scene in told["scenes"]:
         for key in ("list", "settings", "back"):
             if scene[key]:
@@ -69,7 +68,8 @@
             yield _scene(scene, None)
     yield ""
     roles = list(told["scenes"][0]["cpu_share"])
-    yield f"{'% of a core':16}" + "".join(f"{role:>14}" for role in roles) + f"{'B/s a node out':>16}{'in':>8}"
+    yield (f"{'% of a core':16}" + "".join(f"{role:>14}" for role in roles)
+           + f"{'B/s a node out':>16}{'in':>8}")
     for scene in told["scenes"]:
         yield (f"  {scene['what']:14}" + "".join(f"{scene['cpu_share'][role] * 100:14.3f}" for role in roles)
                + f"{scene['sent_s_node']:16.1f}{scene['heard_s_node']:8.2f}")
@@ -78,14 +78,16 @@
     yield f"{'need against budget':{width}}{'need':>12}{'budget':>10}{'ratio':>9}"
     for row in told["needs"]:
         over = "  over" if row["ratio"] > 1 else ""
-        yield f"{row['what']:{width}}{row['need']:12.4g}{row['budget']:10.4g}{row['ratio']:9.2f}  {row['unit']}{over}"
+        yield (f"{row['what']:{width}}{row['need']:12.4g}{row['budget']:10.4g}{row['ratio']:9.3f}  "
+               f"{row['unit']}{over}")
     yield ""
     count = told["counts"]
     held = ", ".join(f"{rule}: {'held' if ok else 'not told' if ok is None else 'BROKEN'}"
                      for rule, ok in count["rules"].items() if rule not in ("cold", "budget"))
-    yield (f"version {count['version']}: {count['hollow']['current']} of {count['hollow']['nodes']} hollow nodes have "
-           f"it, {count['hollow']['right']} with the right list, {count['real']['right']} of {count['real']['nodes']} "
-           f"real ones; told twice {count['hollow']['twice']}, watches lost {count['hollow']['lost']}")
+    hollow, real = count["hollow"], count["real"]
+    yield (f"version {count['version']}: {hollow['current']} of {hollow['nodes']} hollow nodes have it, "
+           f"{hollow['right']} with the right list, {real['right']} of {real['nodes']} real ones; "
+           f"told twice {hollow['twice']}, watches lost {hollow['lost']}")
     yield f"{count['planned']} requests, {count['answered']} answered {count['statuses']}; {held}"
 
 
