--- a/experiments/cold/budget.py
+++ b/experiments/cold/budget.py
@@ -2,7 +2,7 @@
 
     .venv/bin/python experiments/cold/budget.py [--seeds 5] [--nodes 5,10,20,30,720] [--jobs 3]
 
-Many nodes under one clock, 20 warm backends and one that has just started, answers of 50 ms. N is what the settings
+Many nodes under one clock, 20 warm backends (or --backends) and one that has just started, answers of 50 ms. N is what the settings
 allow the cold one in the time in which it falls over: the tip multiple times what it can do at that age, the pace of
 a warm one being its part of what members may ask for. What the nodes give out (`_cold_allows`, all together) is
 less, at most half of it while that is little; `strict` is the worst window against that as N.
@@ -32,7 +32,7 @@
 from pierglade.choice import COLD_MARGIN, Node  # noqa: E402
 
 SECOND = 10000          # tenths of a millisecond
-BACKENDS, TOOK = 21, 500
+TOOK = 500
 WARM_UP = 5 * SECOND
 NODES, NS = "5,10,20,30,720", "2,5,30"
 CASES = ("told", "started", "silence", "undivided")
@@ -84,9 +84,11 @@
 class Fleet:
     """So many nodes, each told of `pace` a second for each backend that members may ask for."""
 
-    def __init__(self, nodes, pace, seed, cold, case="told", load=1.0, shares=True):
+    def __init__(self, nodes, pace, seed, cold, case="told", load=1.0, shares=True,
+                 backends=21):
         self.cold, self.case, self.seed, self.nodes = cold, case, seed, []
-        self.count, self.asked, self.load, self.shares = nodes, pace * BACKENDS, load, shares
+        self.count, self.load, self.shares = nodes, load, shares
+        self.backends, self.asked = backends, pace * backends
         self.chance, self.order, self.due = random.Random(seed), count(), []
         self.woken, self.sent = [None] * nodes, []
         self.now, self.start = 100 * SECOND, 100 * SECOND + WARM_UP
@@ -119,7 +121,7 @@
         return r.Listed(f"b{b}", r.READY, "z", 0, self.start if cold else 0, 1.0)
 
     def _begin(self):
-        entries = [self._entry(b) for b in range(BACKENDS)]
+        entries = [self._entry(b) for b in range(self.backends)]
         for number in range(self.count):
             self.nodes.append(Node(self.seed * 1009 + number, self._terms(number), self.now))
             self.nodes[number].listed(self.now, entries, True)
@@ -181,9 +183,9 @@
 
 
 def one(job):
-    nodes, first, case, seed, cold, load, shares = job
+    nodes, first, case, seed, cold, load, shares, backends = job
     pace = first / cold.over(cold.bears, 0, cold.window)
-    return pace, Fleet(nodes, pace, seed, cold, case, load, shares).play()
+    return pace, Fleet(nodes, pace, seed, cold, case, load, shares, backends).play()
 
 
 @click.command()
@@ -193,12 +195,13 @@
 @click.option("--cases", default=",".join(CASES), show_default=True)
 @click.option("--settings", type=click.Choice(list(SETTINGS)), default="mild", show_default=True)
 @click.option("--load", default=1.0, show_default=True, help="Of what members may ask for.")
+@click.option("--backends", type=click.IntRange(1), default=21, show_default=True)
 @click.option("--no-shares", is_flag=True, help="No member has a share; nodes go by what they settle.")
 @click.option("--jobs", type=click.IntRange(1), default=3, show_default=True)
-def main(seeds, nodes, budgets, cases, settings, load, no_shares, jobs):
+def main(seeds, nodes, budgets, cases, settings, load, backends, no_shares, jobs):
     cold = SETTINGS[settings]
     rows = list(product(cases.split(","), map(float, budgets.split(",")), map(int, nodes.split(","))))
-    work = [(n, first, case, seed, cold, load, not no_shares) for case, first, n in rows
+    work = [(n, first, case, seed, cold, load, not no_shares, backends) for case, first, n in rows
             for seed in range(1, seeds + 1)]
     print("| case | nodes | N at first | got, of what is given | last second | worst window: got, N, bound | share |"
           " strict |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
