--- /dev/null
+++ b/experiments/capacity/slopes.py
@@ -0,0 +1,436 @@
+"""What one node's parts cost as tenants, backends and nodes grow to the target; the base of docs/CAPACITY.md.
+
+    .venv/bin/python experiments/capacity/slopes.py run OUT.json [PLAYS]    all rows, each in a process of its own
+    .venv/bin/python experiments/capacity/slopes.py show OUT.json [OTHER.json]    fits and figures as text
+    .venv/bin/python experiments/capacity/slopes.py show OUT.json [OTHER.json]   fits and figures as text
+Times are CPU time of the process that does the work, so that a busy machine shifts them little; the two
+that are wall time say so. Whole processes: a real `python -m pierglade` beside a stand-in discovery of a
+few lines. Shares of all tenants together are the target's 170,000 requests/s in every row, so a node has
+236 a second and the same number of backends in view.
+"""
+
+import gc
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT))
+
+import numpy  # noqa: E402 - the checkout that this file stands in
+import orjson  # noqa: E402
+
+TENANTS, BACKENDS, NODES, RATE = 47000, 6800, 720, 170000     # the target
+LEAST = {"tenants": 100, "backends": 32, "nodes": 5}
+PARTS = (8, 4, 2, 1)            # an axis is played at an eighth, a quarter, a half and the whole
+NOW, GAP, TOOK = 10**9, 42, 200     # tenths of a ms: the start, between requests (236/s), each answer
+CHANGES, REQUESTS, RELOADS = 50, 3000, 5
+IDLE_S = 10                     # s; how long a whole process is watched with nothing to do
+READ_MOST = 65536
+
+
+def rows():
+    whole = {"tenants": TENANTS, "backends": BACKENDS, "nodes": NODES}
+    for axis, most in whole.items():
+        for part in PARTS:
+            yield axis, {**LEAST, "nodes": NODES, axis: most // part}
+    yield "least", {**LEAST, "nodes": NODES}
+    yield "all", whole
+
+
+def settings_of(tenants, nodes):
+    example = json.loads((ROOT / "deploy" / "example.json").read_text())["settings"]
+    share = round(RATE / tenants, 2)
+    return dict(example, siblings=nodes, me=3,
+                customers=[{"name": f"tenant-{i}", "quotaPerS": share} for i in range(tenants)])
+
+
+def endpoints_of(backends, address="127.0.0.1:9001"):
+    return [{"name": f"svc-{i % 210}-b{i}", "address": address, "zone": f"z{i % 10}", "type": "m2",
+             "group": i % 4, "status": "SERVING", "weight": 1.0, "since_ms": 0} for i in range(backends)]
+
+
+def document_of(tenants, nodes, **others):
+    return {"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+            "limits": {"sockets": 1024, "memory_mb": 192}, "settings": settings_of(tenants, nodes), **others}
+
+
+def write(path, document):
+    # As operators replace it: never half a file.
+    new = path + ".new"
+    with open(new, "wb") as file:
+        file.write(orjson.dumps(document))
+    os.replace(new, path)
+
+
+def memory_mb(pid="self"):
+    if pid == "self":
+        gc.collect()
+    for line in open(f"/proc/{pid}/status"):
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / 1024
+
+
+def cpu_ms(call, *what):
+    begin = time.process_time()
+    result = call(*what)
+    return result, (time.process_time() - begin) * 1e3
+
+
+# One row: the decisions and the settings alone, then the same through the state of a whole node.
+
+def play(tenants, backends, nodes):
+    from pierglade import records as r, terms as t
+    from pierglade.choice import Node
+    found = {}
+    document = document_of(tenants, nodes)
+    text = orjson.dumps(document["settings"])
+    listed = [r.Listed(e["name"], r.READY, e["zone"], e["group"], 0, 1.0) for e in endpoints_of(backends)]
+    del document
+    before = memory_mb()
+    terms, found["settings_ms"] = cpu_ms(lambda: t.terms_from(orjson.loads(text)))
+    with_terms = memory_mb()
+    found["settings_mb"] = with_terms - before
+    node = Node(1, terms, NOW)
+    _, found["list_ms"] = cpu_ms(node.listed, NOW, listed, True)
+    found["list_mb"] = memory_mb() - with_terms
+
+    def changes():
+        for k in range(CHANGES):
+            e = listed[k * 7 % backends]
+            state = r.READY if k % 2 else r.DRAINING
+            node.listed(NOW + k, [r.Listed(e.name, state, e.zone, e.cell, 0, 1.0)], False)
+
+    found["change_us"] = cpu_ms(changes)[1] * 1e3 / CHANGES
+
+    def requests():
+        now, out = NOW + 10**5, []
+        offering = terms.offerings[0]
+        for k in range(REQUESTS):
+            now += GAP
+            node.taken(now, r.Invocation(k, offering, terms.members[k % tenants], now,
+                                         now + offering.hard_limit))
+            while (decision := node.decide(now)) is not None:
+                if decision[0] == r.SEND:
+                    out.append((now + TOOK, decision[1]))
+            while out and out[0][0] <= now:
+                node.returned(now, out.pop(0)[1], r.SETTLED, TOOK, True)
+
+    found["request_us"] = cpu_ms(requests)[1] * 1e3 / REQUESTS
+    del node, terms, listed
+    gc.collect()
+    found.update(play_state(tenants, backends, nodes))
+    return found
+
+
+def play_state(tenants, backends, nodes):
+    """Through the reducer and the file that SIGHUP reads again."""
+    import msgspec
+    from pierglade.__main__ import place_again, place_from
+    from pierglade.net.reducer import Reducer
+    from pierglade.net.state import events as ev
+    found = {}
+    document, whole = document_of(tenants, nodes), endpoints_of(backends)
+    snapshot = {"index": 1, "snapshot": True, "endpoints": whole}
+    drained = {"index": 2, "snapshot": False, "endpoints": [dict(whole[7], status="DRAINING")]}
+    encode = msgspec.json.Encoder().encode      # as the stand-in discovery does
+    line, found["list_encode_ms"] = cpu_ms(encode, snapshot)
+    found["file_bytes"], found["list_bytes"] = len(orjson.dumps(document)), len(line)
+    found["difference_bytes"] = len(b"%x\r\n%s\n\r\n" % (len(encode(drained)) + 1, encode(drained)))
+    found["heartbeat_bytes"] = len(b"1\r\n\n\r\n")
+    with tempfile.TemporaryDirectory() as folder:
+        path = os.environ["BALANCER_CONFIG"] = os.path.join(folder, "n1.json")
+        write(path, document)
+        first = place_from(os.environ)
+        reducer = Reducer(first.seed, first.terms, NOW, 1000, first.discovery, first.told)
+        _, found["state_list_ms"] = cpu_ms(lambda: reducer.apply(NOW, ev.HEARD, orjson.loads(line)))
+        now, spans = NOW, []
+        for k in range(CHANGES):
+            entry = dict(whole[k * 7 % backends], status="SERVING" if k % 2 else "DRAINING")
+            told = orjson.dumps({"index": k + 2, "snapshot": False, "endpoints": [entry]})
+            now += 10
+            spans.append(cpu_ms(lambda: reducer.apply(now, ev.HEARD, orjson.loads(told)))[1])
+        found["state_change_us"] = sum(spans) * 1e3 / CHANGES
+
+        def reload():
+            place = place_again(first)
+            return reducer.apply(now, ev.CONFIGURED, place.discovery, place.told, place.terms)
+
+        spans = []
+        for k in range(RELOADS):
+            document["settings"]["customers"][k]["quotaPerS"] += 1
+            write(path, document)
+            now += 10000
+            spans.append(cpu_ms(reload)[1])
+        found["reload_ms"] = sum(spans) / RELOADS
+        found["reload_most_ms"] = max(spans)
+    return found
+
+
+# A whole process.
+
+class Agent:
+    """Answers as discovery does: the whole list, then a watch of heartbeats."""
+
+    def __init__(self, backends):
+        self.body = orjson.dumps({"index": 1, "snapshot": True, "endpoints": endpoints_of(backends)})
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.address = "%s:%d" % self.server.getsockname()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                sock, _ = self.server.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock):
+        try:
+            if b"follow=1" not in sock.recv(READ_MOST):
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.body) + self.body)
+                sock.recv(READ_MOST)
+                return
+            sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while True:
+                sock.sendall(b"1\r\n\n\r\n")
+                time.sleep(2)
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+
+def free_address():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return "%s:%d" % server.getsockname()
+
+
+class Prober:
+    """Asks /health/ready every 4 ms on one connection; the longest answer is how long the loop was held."""
+
+    def __init__(self, address):
+        self.address, self.worst, self.over, self.fault = address, 0.0, False, None
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        asker = None
+        try:
+            while not self.over:
+                asker = asker or http.client.HTTPConnection(self.address, timeout=30)
+                begin = time.perf_counter()
+                asker.request("GET", "/health/ready")
+                answer = asker.getresponse()
+                answer.read()
+                if answer.will_close:
+                    asker.close()
+                self.worst = max(self.worst, time.perf_counter() - begin)
+                time.sleep(0.004)
+        except (OSError, http.client.HTTPException) as fault:
+            self.fault = repr(fault)
+
+    def end(self):
+        self.over = True
+        self.thread.join()
+        return self.worst * 1e3
+
+
+def ready(address):
+    try:
+        asker = http.client.HTTPConnection(address, timeout=30)
+        asker.request("GET", "/health/ready")
+        return asker.getresponse().status == 200
+    except OSError:
+        return False
+
+
+def cpu_of(pid):
+    fields = open(f"/proc/{pid}/stat").read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def play_process(tenants, backends, nodes, told):
+    """`told`: the list comes from a discovery; else it stands in the file and discovery is unreachable."""
+    found = {}
+    agent = Agent(backends) if told else None
+    listen = free_address()
+    document = document_of(tenants, nodes, listen=listen, discovery=agent.address if told else "127.0.0.1:1")
+    if not told:
+        document["known"] = {"index": 1, "snapshot": True, "endpoints": endpoints_of(backends)}
+    with tempfile.TemporaryDirectory() as folder:
+        path = os.path.join(folder, "n1.json")
+        write(path, document)
+        with open(os.path.join(folder, "log"), "w") as log:
+            began = time.perf_counter()
+            node = subprocess.Popen([sys.executable, "-m", "pierglade"], stdout=log, cwd=ROOT,
+                                    env={**os.environ, "BALANCER_CONFIG": path})
+        try:
+            while not ready(listen):
+                if node.poll() is not None:
+                    raise SystemExit(f"the node ended with {node.returncode}")
+                time.sleep(0.02)
+            found["ready_s"] = time.perf_counter() - began
+            found["start_cpu_s"] = cpu_of(node.pid)
+            found["start_mb"] = memory_mb(node.pid)
+            time.sleep(1)
+            begin = cpu_of(node.pid)
+            time.sleep(IDLE_S)
+            found["idle_core"] = (cpu_of(node.pid) - begin) / IDLE_S
+            worst, begin = [], cpu_of(node.pid)
+            for k in range(RELOADS):
+                document["settings"]["customers"][k]["quotaPerS"] += 1
+                write(path, document)
+                prober = Prober(listen)
+                time.sleep(0.2)
+                node.send_signal(signal.SIGHUP)
+                time.sleep(0.5)
+                while log_count(folder, "configuration read") <= k:
+                    if log_count(folder, "refused") or node.poll() is not None:
+                        raise SystemExit("the node refused a change, or ended")
+                    time.sleep(0.05)
+                time.sleep(0.3)
+                worst.append(prober.end())
+                if prober.fault:
+                    found["prober"] = prober.fault
+                if k == 0:
+                    found["one_change_mb"] = memory_mb(node.pid)
+            found["changes_mb"] = memory_mb(node.pid)
+            found["changes_cpu_s"] = cpu_of(node.pid) - begin
+            found["held_ms"] = worst
+        finally:
+            node.send_signal(signal.SIGTERM)
+            try:
+                node.wait(15)
+            except subprocess.TimeoutExpired:
+                node.kill()
+                node.wait()
+            if agent:
+                agent.server.close()
+    return found
+
+
+def log_count(folder, event):
+    return pathlib.Path(folder, "log").read_text().count(event)
+
+
+# All rows, and what they say.
+
+def run(out, plays):
+    commit = subprocess.run(["git", "describe", "--always", "--dirty", "--exclude=*"], cwd=ROOT, text=True,
+                            capture_output=True).stdout.strip()
+    result = {"commit": commit, "began": time.strftime("%H:%M:%S"), "load": [os.getloadavg()[0]],
+              "plays": plays, "rows": [], "processes": []}
+    shapes = (("empty", 1, 1), ("tenants", TENANTS, LEAST["backends"]),
+              ("backends", LEAST["tenants"], BACKENDS), ("full", TENANTS, BACKENDS))
+    for play_number in range(plays):
+        for axis, row in rows():
+            result["rows"].append({"axis": axis, "play": play_number, **row, **child("row", *row.values())})
+        for told in (False, True):
+            for shape, tenants, backends in shapes:
+                row = {"shape": shape, "told": told, "tenants": tenants, "backends": backends}
+                result["processes"].append({**row, "play": play_number,
+                                            **child("process", tenants, backends, NODES, int(told))})
+        result["load"].append(os.getloadavg()[0])
+        result["ended"] = time.strftime("%H:%M:%S")
+        pathlib.Path(out).write_text(json.dumps(result, indent=1) + "\n")
+
+
+def child(kind, *figures):
+    got = subprocess.run([sys.executable, __file__, kind, *map(str, figures)], cwd=ROOT, text=True,
+                         capture_output=True)
+    if got.returncode:
+        return {"failed": got.stderr.strip().splitlines()[-1:] or got.returncode}
+    return rounded(json.loads(got.stdout))
+
+
+def rounded(found):
+    return {key: [round(v, 3) for v in value] if isinstance(value, list)
+            else round(value, 4) if isinstance(value, float) else value for key, value in found.items()}
+
+
+MODELS = {"constant": lambda x: [x * 0 + 1], "linear": lambda x: [x * 0 + 1, x],
+          "square": lambda x: [x * 0 + 1, x, x * x]}
+
+
+def fit(xs, ys):
+    """The plainest shape that explains the figures: its name, coefficients, error as a share of the whole's.
+
+    A further coefficient has to halve the error and to stand for more than 5% at the whole; a square's
+    coefficient has to be above nought.
+    """
+    x, y = numpy.array(xs, float), numpy.array(ys, float)
+    scale = max(abs(y[x == x.max()].mean()), 1e-12)
+    best = None
+    for name, columns in MODELS.items():
+        matrix = numpy.stack(columns(x), axis=1)
+        found, *_ = numpy.linalg.lstsq(matrix, y, rcond=None)
+        spare = max(1, len(y) - len(found))
+        error = float(numpy.sqrt(((matrix @ found - y) ** 2).sum() / spare)) / scale
+        part = abs(found[-1]) * x.max() ** (len(found) - 1) / scale
+        if best is None or error < best[2] / 2 and part > 0.05 and (name != "square" or found[-1] > 0):
+            best = (name, [float(c) for c in found], error)
+    return best
+
+
+def show(paths):
+    for path in paths:
+        result = json.loads(pathlib.Path(path).read_text())
+        print(f"\n{path}: {result['commit']}, {result['plays']} plays, {result['began']} to "
+              f"{result['ended']}, load {min(result['load']):.0f} to {max(result['load']):.0f}")
+        good = [row for row in result["rows"] if "failed" not in row]
+        for row in result["rows"] + result["processes"]:
+            if "failed" in row:
+                print("failed:", row)
+        names = [key for key in good[0] if key not in ("axis", "play", *LEAST)]
+        for name in names:
+            for axis in LEAST:
+                xs, ys = zip(*((row[axis], row[name]) for row in good if row["axis"] == axis))
+                shape, found, error = fit(xs, ys)
+                means = [sum(y for at, y in zip(xs, ys) if at == x) / xs.count(x) for x in sorted(set(xs))]
+                print(f"{name:17} {axis:9}", *(f"{mean:11.4g}" for mean in means),
+                      f"  {shape:9} {' '.join(f'{c:.3g}' for c in found):28} error {error:.1%}")
+            for axis in ("least", "all"):
+                ys = [row[name] for row in good if row["axis"] == axis]
+                print(f"{name:17} {axis:9}", f"{sum(ys) / len(ys):11.4g}  ({min(ys):.4g} to {max(ys):.4g})")
+        print()
+        processes = [row for row in result["processes"] if "failed" not in row]
+        for told in (False, True):
+            for shape in ("empty", "tenants", "backends", "full"):
+                same = [row for row in processes if row["shape"] == shape and row["told"] == told]
+                if not same:
+                    continue
+                means = {key: sum(row[key] for row in same) / len(same) for key in same[0]
+                         if key.endswith(("_mb", "_s", "_core"))}
+                held = [ms for row in same for ms in row["held_ms"]]
+                print(f"{shape:9} {'told' if told else 'file':5}",
+                      *(f"{key} {value:.3g}" for key, value in means.items()),
+                      f"held ms {min(held):.0f} to {max(held):.0f}",
+                      *{row["prober"] for row in same if "prober" in row})
+
+
+def main(kind, *what):
+    if kind == "row":
+        print(json.dumps(play(*map(int, what))))
+    elif kind == "process":
+        *figures, told = map(int, what)
+        print(json.dumps(play_process(*figures, bool(told))))
+    elif kind == "run":
+        run(what[0], int(what[1]) if len(what) > 1 else 3)
+    elif kind == "show":
+        show(what)
+    else:
+        sys.exit(__doc__)
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:] or ["help"])
