--- a/experiments/capacity/slopes.py
+++ b/experiments/capacity/slopes.py
@@ -1,8 +1,8 @@
 """What one node's parts cost as tenants, backends and nodes grow to the target; the base of docs/CAPACITY.md.
 
-    .venv/bin/python experiments/capacity/slopes.py run OUT.json [PLAYS]    all rows, each in a process of its own
-    .venv/bin/python experiments/capacity/slopes.py show OUT.json [OTHER.json]    fits and figures as text
+    .venv/bin/python experiments/capacity/slopes.py run OUT.json [PLAYS]   all rows, a process each
     .venv/bin/python experiments/capacity/slopes.py show OUT.json [OTHER.json]   fits and figures as text
+
 Times are CPU time of the process that does the work, so that a busy machine shifts them little; the two
 that are wall time say so. Whole processes: a real `python -m pierglade` beside a stand-in discovery of a
 few lines. Shares of all tenants together are the target's 170,000 requests/s in every row, so a node has
