--- a/experiments/capacity/slopes.py
+++ b/experiments/capacity/slopes.py
@@ -36,6 +36,7 @@
 CHANGES, REQUESTS, RELOADS = 50, 3000, 5
 IDLE_S = 10                     # s; how long a whole process is watched with nothing to do
 READ_MOST = 65536
+UNLIKE = 0.6180339887           # shares from half of the mean to one and a half, no two neighbours alike
 
 
 def rows():
@@ -49,9 +50,9 @@
 
 def settings_of(tenants, nodes):
     example = json.loads((ROOT / "deploy" / "example.json").read_text())["settings"]
-    share = round(RATE / tenants, 2)
-    return dict(example, siblings=nodes, me=3,
-                customers=[{"name": f"tenant-{i}", "quotaPerS": share} for i in range(tenants)])
+    return dict(example, siblings=nodes, me=3, customers=[
+        {"name": f"tenant-{i}", "quotaPerS": round(RATE / tenants * (0.5 + i * UNLIKE % 1), 2)}
+        for i in range(tenants)])
 
 
 def endpoints_of(backends, address="127.0.0.1:9001"):
@@ -86,6 +87,18 @@
     return result, (time.process_time() - begin) * 1e3
 
 
+def walked(steps, spans):
+    """What a work in steps returns; the CPU ms of each step are added to `spans`."""
+    while True:
+        begin = time.process_time()
+        try:
+            next(steps)
+        except StopIteration as over:
+            return over.value
+        finally:
+            spans.append((time.process_time() - begin) * 1e3)
+
+
 # One row: the decisions and the settings alone, then the same through the state of a whole node.
 
 def play(tenants, backends, nodes):
@@ -169,24 +182,43 @@
         found["state_change_us"] = sum(spans) * 1e3 / CHANGES
         # A zone, one in ten backends, is gone and comes back, each in one message.
         zone = [entry for entry in whole if entry["zone"] == "z3"]
-        for name, other in (("zone_gone_ms", {"status": "DELETED"}), ("zone_back_ms", {"since_ms": NOW // 10})):
+        for name, other in (("zone_gone_ms", {"status": "DELETED"}),
+                            ("zone_back_ms", {"since_ms": NOW // 10})):
             now += 10000
-            told = orjson.dumps({"index": now, "snapshot": False, "endpoints": [{**e, **other} for e in zone]})
+            changed = [{**entry, **other} for entry in zone]
+            told = orjson.dumps({"index": now, "snapshot": False, "endpoints": changed})
             _, found[name] = cpu_ms(lambda: reducer.apply(now, ev.HEARD, orjson.loads(told)))
             found["zone_bytes"] = len(told)
 
-        def reload():
-            place = place_again(first)
-            return reducer.apply(now, ev.CONFIGURED, place.discovery, place.told, place.terms)
-
-        spans = []
-        for k in range(RELOADS):
-            document["settings"]["customers"][k]["quotaPerS"] += 1
+        def reload(change):
+            """CPU ms of it all, and of the longest step; requests pass between two, where it has steps."""
+            nonlocal now
+            change(document["settings"])
             write(path, document)
             now += 10000
-            spans.append(cpu_ms(reload)[1])
-        found["reload_ms"] = sum(spans) / RELOADS
-        found["reload_most_ms"] = max(spans)
+            steps = []
+            if shares is None:
+                place, ms = cpu_ms(place_again, first)
+                steps.append(ms + cpu_ms(reducer.apply, now, ev.CONFIGURED, place.discovery, place.told,
+                                         place.terms)[1])
+                return sum(steps), steps[0]
+            place = walked(steps_again(first), steps)
+            told = walked(shares.steps(reducer.terms.tenants, place.terms.tenants.shares), steps)
+            steps.append(cpu_ms(reducer.apply, now, ev.CONFIGURED, place.discovery, place.told, place.terms,
+                                told)[1])
+            return sum(steps), max(steps)
+
+        try:
+            from pierglade.__main__ import steps_again
+            from pierglade.change import shares
+        except ImportError:
+            shares = None       # before changes by difference
+        for name, change in (
+                ("reload", lambda settings: settings["customers"][0].update(quotaPerS=now / 10**9)),
+                ("reload_other", lambda settings: settings["offerings"][0].update(credit=now / 10**9))):
+            spans = [reload(change) for _ in range(RELOADS)]
+            found[f"{name}_ms"] = sum(ms for ms, _ in spans) / RELOADS
+            found[f"{name}_step_ms"] = max(step for _, step in spans)
     return found
 
 
