--- a/experiments/capacity/slopes.py
+++ b/experiments/capacity/slopes.py
@@ -154,7 +154,7 @@
 def play_state(tenants, backends, nodes):
     """Through the reducer and the file that SIGHUP reads again."""
     import msgspec
-    from pierglade.__main__ import place_again, place_from
+    from pierglade.__main__ import GARBAGE, place_again, place_from
     from pierglade.net.reducer import Reducer
     from pierglade.net.state import events as ev
     found = {}
@@ -171,6 +171,9 @@
         path = os.environ["BALANCER_CONFIG"] = os.path.join(folder, "n1.json")
         write(path, document)
         first = place_from(os.environ)
+        gc.collect()
+        gc.freeze()     # as a node does; else collections count among the steps
+        gc.set_threshold(GARBAGE, 20, 20)
         reducer = Reducer(first.seed, first.terms, NOW, 1000, first.discovery, first.told)
         _, found["state_list_ms"] = cpu_ms(lambda: reducer.apply(NOW, ev.HEARD, orjson.loads(line)))
         now, spans = NOW, []
