--- a/tests/test_lists_at_size.py
+++ b/tests/test_lists_at_size.py
@@ -5,6 +5,7 @@
 
 from pierglade import records as r
 from pierglade.choice import FORGET, Node
+from pierglade.tenants import Tenants
 from tests.scene import MS, Scene, listed, terms
 
 HARD_LIMIT = 1000       # ms; the longest of the scene's offerings
@@ -60,7 +61,7 @@
     def test_all_in_view_and_one_leaves(self):
         """Looked for in the new rotation one by one, each of the old cost all of them."""
         def leaves(count):
-            node = Node(4, terms(members=[]), 0)
+            node = Node(4, terms(tenants=Tenants()), 0)
             node.listed(0, fleet(0, count), True)
             node.at = count - 1
             node.listed(1, [listed(node.names[node.turn[-1]], r.GONE)], False)
