--- a/pierglade/scale/figures.py
+++ b/pierglade/scale/figures.py
@@ -14,6 +14,7 @@
 SLACK_S = 0.001     # a log tells moments to a tenth of a ms, and the clock's begin is read apart
 STATES = {"ready": "SERVING", "draining": "DRAINING", "gone": "DELETED"}
 DAY_S = 86400
+BUSY_MS = 10.0      # that 99 in 100 straight requests take over what a backend does; then times say little
 TOLD_TWICE = 2      # a restarted backend is told as draining and as serving
 
 
@@ -77,9 +78,13 @@
     def within(self, begin_ms, end_ms):
         return self.took_ms[(self.at_ms >= begin_ms) & (self.at_ms < end_ms)]
 
+    def good(self, begin_ms, end_ms):
+        """How many of these were answered with 200."""
+        return int((self.status[(self.at_ms >= begin_ms) & (self.at_ms < end_ms)] == 200).sum())
 
-def _p99(took):
-    return round(float(np.percentile(took, 99)), 2) if len(took) else None
+
+def _part(took, part):
+    return round(float(np.percentile(took, part)), 2) if len(took) else None
 
 
 def _minus(a, b):
@@ -94,7 +99,7 @@
     roles = _roles(plan, used)
     begin_ms, end_ms = ((scene[key] + ahead) * 1000 for key in ("begin", "end"))
     of_nodes, of_straight = (some.within(begin_ms, end_ms) for some in (through, straight))
-    moments = sorted([at for _, at in scene["list"] + scene["back"]] + scene["settings"])
+    moments = sorted(at for _, at in scene["list"] + scene["back"] + scene["settings"])
     window = WINDOW_S.get(scene["what"], WINDOW_ELSE_S)
     worst = {key: max((float(some.within((at + ahead) * 1000, (at + ahead + window) * 1000).max(initial=0.0))
                        for at in moments), default=None)
@@ -111,8 +116,10 @@
         "list": in_force(scene["list_delays"]) if scene["list"] else None,
         "settings": in_force(scene["settings_delays"]) if scene["settings"] else None,
         "back": in_force(scene["back_delays"]) if scene["back"] else None,
-        "p99_ms": {"through": _p99(of_nodes), "straight": _p99(of_straight),
-                   "added": _minus(_p99(of_nodes), _p99(of_straight))},
+        "p50_ms": {"through": _part(of_nodes, 50), "straight": _part(of_straight, 50)},
+        "answered_200": [through.good(begin_ms, end_ms), len(of_nodes)],
+        "p99_ms": {"through": _part(of_nodes, 99), "straight": _part(of_straight, 99),
+                   "added": _minus(_part(of_nodes, 99), _part(of_straight, 99))},
         "worst_ms": {key: round(ms, 1) if ms is not None else None for key, ms in worst.items()},
         "list_ms": _mean(scene["work"]["list_ms"]), "settings_ms": _mean(scene["work"]["settings_ms"]),
         "logged": {f"n{number}": events for number, events in scene.get("events", {}).items() if events}}
@@ -255,6 +262,11 @@
     if tally.summary()["behind"]:
         doubts.append(f"the load fell behind its plan: p99 {late['p99']:g} ms, sent {tally.counts['sent']} "
                       f"of {tally.counts['planned']}")
+    busy = [scene["what"] for scene in scenes
+            if (scene["p99_ms"]["straight"] or 0.0) > plan.backends.answer_ms + BUSY_MS]
+    if busy:
+        doubts.append(f"the machine was busy: 99 in 100 straight to a backend took over {BUSY_MS:g} ms more "
+                      f"than its {plan.backends.answer_ms:g} in {', '.join(busy)}")
     doubts += [f"hole: {hole.text()}" for hole in verdict.holes]
     return {"title": plan.title, "seed": plan.seed,
             "sizes": {"nodes": plan.nodes.count, "loaded": plan.nodes.loaded, "idle": plan.nodes.idle,
--- a/pierglade/scale/hollow.py
+++ b/pierglade/scale/hollow.py
@@ -104,14 +104,15 @@
             return
         document = what[0]
         if document["snapshot"]:
-            told = {entry["name"]: entry for entry in document["endpoints"]}
-            self.other = {name: ["DELETED", 0] for name in self.at_first if name not in told}
+            self.other = {}
+            if len(document["endpoints"]) < len(self.at_first):
+                told = {entry["name"] for entry in document["endpoints"]}
+                self.other = {name: ["DELETED", 0] for name in self.at_first if name not in told}
         elif self.index is None:
             return self.discovery.relist()
         for entry in document["endpoints"]:
-            now = [entry["status"], entry["since_ms"]]
-            if now != ["SERVING", 0]:
-                self.other[entry["name"]] = now
+            if entry["status"] != "SERVING" or entry["since_ms"]:
+                self.other[entry["name"]] = [entry["status"], entry["since_ms"]]
             else:
                 self.other.pop(entry["name"], None)
         self.index = document["index"]
@@ -130,7 +131,7 @@
         super().__init__(number, place.discovery)
 
     def begin(self):
-        place = self.place
+        place, self.version = self.place, 0
         self.timer = Timer(self.clock, lambda late: self.tell(ev.WOKE))
         self.reducer = Reducer(place.seed, place.terms, self.clock.now(), place.sockets, place.discovery,
                                place.told)
@@ -149,13 +150,14 @@
             elif effect == ev.ASK:
                 self.discovery.ask()
             elif effect == ev.NOTE and rest[0] == LOADED:
-                self.settings_at.append(monotonic())
+                self.settings_at.append((self.version, monotonic()))
         self.timer.set(self.reducer.wake(self.clock.now()))
 
     def read_again(self):
         """What a node does at SIGHUP; the one place that knows how."""
         began = thread_time()
         place = place_again(self.place)
+        self.version = place.told["version"]
         self.tell(ev.CONFIGURED, place.discovery, place.told, place.terms)
         self.settings_s.append(thread_time() - began)
 
@@ -206,15 +208,16 @@
         return {"versions": [node.index or 0 for node in self.all]}
 
     def delays(self, told, settings):
-        """ms until each of these was in force, node by node; -1 where it was not. Then they are forgotten."""
+        """ms until each of these (version, moment) was in force, node by node; -1 where it was not. Then they
+        are forgotten."""
         of_list, of_settings = [], []
         for index, at in told:
             delays = [node.delay(index, at) for node in self.all]
             of_list.append([-1 if each is None else round(each * 1000, 1)
                             for each in delays if each is not False])
         full = [node for node in self.all if isinstance(node, Full)]
-        for at, until in settings:
-            moments = [next((m for m in node.settings_at if at <= m < until), None) for node in full]
+        for version, at in settings:
+            moments = [next((m for v, m in node.settings_at if v >= version), None) for node in full]
             of_settings.append([-1 if m is None else round((m - at) * 1000, 1) for m in moments])
         work = {"list_ms": [each * 1000 for node in full for each in node.list_s],
                 "settings_ms": [each * 1000 for node in full for each in node.settings_s]}
--- a/pierglade/scale/plan.py
+++ b/pierglade/scale/plan.py
@@ -19,7 +19,8 @@
 MOST_BACKENDS = 60000       # addresses that fit behind 127.1.0.0
 PROCESSES = 200             # a run never has more
 HALF = 0.5                  # of the machine's memory; likewise
-TAIL_S = 3.0                # at the end of a scene nothing more happens: what did is to be seen in force
+TAIL_S = {"settings": 6.0}  # at the end of a scene nothing begins: what did is to be seen in force, and over
+TAIL_ELSE_S = 3.0
 # What a process takes, MB: measured at 6,800 backends and 47,000 tenants, rounded up; only to refuse by.
 BASE_MB, BACKEND_KB, TENANT_KB = 40.0, 8.0, 2.0
 WATCH_KB, ENTRY_KB = 60.0, 0.2      # a watch; an entry of the list on its way, at either side
@@ -77,6 +78,9 @@
     multiple: Positive = 100.0      # how many times faster than in a day, for list, settings and restarts
     down_s: Positive = 1.0          # for discovery: until it is back
 
+    def tail_s(self):
+        return TAIL_S.get(self.what, TAIL_ELSE_S)
+
 
 class Budget(Struct):
     """What the operators allow."""
@@ -109,6 +113,7 @@
     day: Day = msgspec.field(default_factory=Day)
     discovery: Discovery = msgspec.field(default_factory=Discovery)
     limits: Limits = msgspec.field(default_factory=Limits)
+    warm_s: NotNegative = 5.0           # of requests before the first scene
     budget: Budget = msgspec.field(default_factory=Budget)
     axes: Axes | None = None
 
@@ -116,7 +121,8 @@
         return self.nodes.count - self.nodes.loaded - self.nodes.idle - self.nodes.full
 
     def seconds(self):
-        return sum(scene.seconds for scene in self.scene)
+        """Of requests."""
+        return self.warm_s + sum(scene.seconds for scene in self.scene)
 
     def groups(self):
         """The hollow processes: {name: (first number, how many, whether they are full)}."""
@@ -164,9 +170,9 @@
     if not plan.nodes.loaded + plan.nodes.idle:
         raise Unreadable(f"{path}: $.nodes: no real node; `loaded` or `idle` is over 0")
     for number, scene in enumerate(plan.scene):
-        if scene.what != "calm" and scene.seconds <= TAIL_S + 1:
-            raise Unreadable(f"{path}: $.scene[{number}].seconds: over {TAIL_S + 1:g}, as nothing begins in "
-                             f"its last {TAIL_S:g}")
+        if scene.what != "calm" and scene.seconds <= scene.tail_s() + 1:
+            raise Unreadable(f"{path}: $.scene[{number}].seconds: over {scene.tail_s() + 1:g}, as nothing "
+                             f"begins in its last {scene.tail_s():g}")
     for name in AXES if plan.axes else ():
         least, target = getattr(plan.axes, name)
         if least > target:
@@ -235,7 +241,7 @@
     if scene.what in ("zone", "discovery"):
         return [1.0]
     day = plan.day.restarts if scene.what == "restarts" else plan.day.changes
-    span = scene.seconds - TAIL_S - 1
+    span = scene.seconds - scene.tail_s() - 1
     gap = DAY_S / (day * scene.multiple)
     return [1.0 + gap * k for k in range(max(1, int(span / gap)))]
 
--- a/pierglade/scale/report.py
+++ b/pierglade/scale/report.py
@@ -59,7 +59,7 @@
            f"{told['most_processes']} processes at most (estimated {told['estimated_mb']} MB)")
     yield ""
     yield (f"{'scene':11}{'changes':>9}  {'in force at first, half, 99 in 100, last (ms)':48}"
-           f"{'p99 ms':>20}  worst ms")
+           f"{'p99 ms':>20}{'worst ms':>10}  with 200")
     for scene in told["scenes"]:
         for key in ("list", "settings", "back"):
             if scene[key]:
@@ -101,4 +101,6 @@
     worst = scene["worst_ms"]["through"]
     delay = f"{added['through']} - {added['straight']}" if added["through"] is not None else ""
     name = scene["what"] + (" (back)" if key == "back" else "")
-    return f"{name:17}{changes:>3}  {force:48}{delay:>20}  {'' if worst is None else f'{worst:g}'}"
+    good, asked = scene["answered_200"]
+    return (f"{name:17}{changes:>3}  {force:48}{delay:>20}{'' if worst is None else f'{worst:g}':>10}"
+           f"  {good} of {asked}")
