--- a/pierglade/learned/ageing.py
+++ b/pierglade/learned/ageing.py
@@ -7,7 +7,7 @@
 | mean pause and window of the forecast | fade likewise; the window is one of three and is kept while half is left |
 | when the next pause is due | only if the work done meanwhile is surely under a part of a gap; else nothing |
 | what a backend usually settles, by its reports | kept with fewer reports behind it |
-| trouble, trials, trips out, overload, cold budgets, the rates of members, the worst offering | nothing: a restart ends the first ones, and the others tell of two seconds |
+| trouble, trials, trips out, overload, cold budgets, the rates of tenants, the worst offering | nothing: a restart ends the first ones, and the others tell of two seconds |
 
 Nothing at all of a backend whose process, address or name is another, and of an offering whose limits are.
 Times are tenths of a millisecond.
--- a/pierglade/limit/room.py
+++ b/pierglade/limit/room.py
@@ -44,7 +44,7 @@
 ROUND_LEAST, ROUND_MOST = 4, 400    # trips in a round; fewer tell nothing of their spread, more little else
 HOLD, HOLD_MOST = 10000, 80000  # 1 s, 8 s; between steps that failed, doubled
 CLEAR = 0.25            # shift over unhurried answers up to which no queue is seen, however it came about
-GIVEN = 1.5             # times what members' shares keep out at ease; no more room than that is looked for
+GIVEN = 1.5             # times what tenants' shares keep out at ease; no more room than that is looked for
 QUEUE_SOME = 1.0        # times the root of how many are worked on may wait while it grows; chance fills it
 QUEUE_KEPT = 2.0        # the same that are left out; the way there is halved round by round
 QUEUE = 3.0             # the same before it is halved to see whether it is a queue
@@ -76,7 +76,7 @@
 class Room:
     """`nodes` balancers share the fleet; `offerings` is how many rows there are.
 
-    `asked` is what members' shares let come to this node in a tenth of a millisecond; None: no shares.
+    `asked` is what tenants' shares let come to this node in a tenth of a millisecond; None: no shares.
     """
 
     def __init__(self, nodes, offerings, now, asked=None):
@@ -454,7 +454,7 @@
         return STEP_SPAN + 2 * self.work
 
     def _wanted(self):
-        """Whether members may ask for more than there is room for, as far as the settings tell."""
+        """Whether tenants may ask for more than there is room for, as far as the settings tell."""
         return self.asked is None or self.trips() < GIVEN * self.asked * self.work
 
     def _move(self, now, mode, each, shift, busy, step):
