--- a/tests/test_learned_over_settings.py
+++ b/tests/test_learned_over_settings.py
@@ -348,6 +348,40 @@
         self.assertEqual(scene.node.cold_until.count(0), 2)
         self.assertEqual((scene.node.allowance, before.allowance), (saved, [0.0] * 3))
 
+    def sent_to_cold(self, every_ms):
+        """Trips in 8 s to a backend that is cold for all of them, of 100 requests a second at four backends.
+
+        The settings change each `every_ms`; what is out at the earlier ones is lost then, so that they send on.
+        """
+        scene = Scene(["b0", "b1", "b2", listed("b3", started=10000 * MS)], tenants=Tenants({"north": 100.0}),
+                      cold_from=0.1, tip_multiple=2.0)
+        cold, sent, due = scene.node.index["b3"], 0, every_ms
+        for n in range(800):
+            # One is owed by the earlier node at each change, and may go to the cold one from there.
+            taken = [scene.take(f"i{n}")]
+            scene.after(5)
+            if due is not None and n * 10 >= due:
+                due += every_ms
+                before, scene.terms = scene.node, terms(tenants=Tenants({"north": 100.0}), cold_from=0.1,
+                                                        tip_multiple=2.0)
+                scene.node = Node(n, scene.terms, scene.now, before)
+                take_over(scene.node, before, scene.now)
+                before.returned(scene.now, taken[0].trips[-1], r.UNREACHABLE, 10, False)
+                while (decision := before.decide(scene.now)) is not None:
+                    if decision[0] is r.SEND:
+                        before.returned(scene.now, decision[1], r.SETTLED, 10, True)
+            else:
+                scene.end(f"i{n}")
+            scene.after(5)
+            sent += sum(trip.backend == cold for trip in taken[0].trips)
+        return sent
+
+    def test_a_cold_backend_gets_no_more_however_often_settings_change(self):
+        """If both nodes kept what was saved up, each change would add what the earlier one still sends."""
+        steady = self.sent_to_cold(None)
+        self.assertGreater(steady, 50)
+        self.assertLessEqual(self.sent_to_cold(20), steady + 2 * steady ** 0.5 + 2)
+
     def test_gone_binds_from_now_on(self):
         scene = Scene(["b0", "b1", "b2"], gone_binds=False)
         scene.flow(30)
