--- a/experiments/cold/budget.py
+++ b/experiments/cold/budget.py
@@ -2,15 +2,16 @@
 
     .venv/bin/python experiments/cold/budget.py [--seeds 5] [--nodes 5,10,20,30,720] [--jobs 3]
 
-Many nodes under one clock, 20 warm backends (or --backends) and one that has just started, answers of 50 ms. N is what the settings
-allow the cold one in the time in which it falls over: the tip multiple times what it can do at that age, the pace of
-a warm one being its part of what members may ask for. What the nodes give out (`_cold_allows`, all together) is
-less, at most half of it while that is little; `strict` is the worst window against that as N.
+Many nodes under one clock, 20 warm backends (or --backends less one) and one that has just started, answers of
+50 ms. N is what the settings allow the cold one in the time in which it falls over: the tip multiple times what it
+can do at that age; the pace of a warm one is its part of what members may ask for. What the nodes give out
+(`_cold_allows`, all together) is less, at most half of it while that is little; `strict` is the worst window against
+that as N.
 
 `told`: nodes that have run for 5 s are all told of the start in the same moment. `started`: all nodes start in that
 moment, with the list and nothing learned. `silence`: as `told`, nothing is asked for during the first half of the
-cold time, then three times as much as shares allow for 2 s. `undivided`: as `told`, but each node takes itself for
-the only one.
+cold time, then fifteen times as much as shares allow for 2 s. `undivided`: as `told`, but each node takes itself
+for the only one.
 
 `mild` settings: cold for 8 s from 0.4 of its pace, tip multiple 3, falls in 2 s. `harsh`: 22 s, 0.13, 2.5, 1.5 s.
 """
@@ -33,7 +34,7 @@
 
 SECOND = 10000          # tenths of a millisecond
 TOOK = 500
-WARM_UP = 5 * SECOND
+WARM_UP, RUSH = 5 * SECOND, 15
 NODES, NS = "5,10,20,30,720", "2,5,30"
 CASES = ("told", "started", "silence", "undivided")
 
@@ -138,7 +139,7 @@
         if self.case == "silence" and 0 <= age < silent:
             return 0.0, self.start + silent
         if self.case == "silence" and 0 <= age < silent + 2 * SECOND:
-            return 3 * self.asked / SECOND, self.start + silent + 2 * SECOND
+            return RUSH * self.asked / SECOND, self.start + silent + 2 * SECOND
         return self.load * self.asked / SECOND, self.start if age < 0 else self.start + self.cold.cold_for
 
     def _arrive(self):
@@ -182,10 +183,14 @@
             self._pull(number)
 
 
+def pace(at_first, cold):
+    """Of a warm backend, a second, so that N is `at_first` in the first window."""
+    return at_first / cold.over(cold.bears, 0, cold.window)
+
+
 def one(job):
     nodes, first, case, seed, cold, load, shares, backends = job
-    pace = first / cold.over(cold.bears, 0, cold.window)
-    return pace, Fleet(nodes, pace, seed, cold, case, load, shares, backends).play()
+    return Fleet(nodes, pace(first, cold), seed, cold, case, load, shares, backends).play()
 
 
 @click.command()
@@ -203,20 +208,20 @@
     rows = list(product(cases.split(","), map(float, budgets.split(",")), map(int, nodes.split(","))))
     work = [(n, first, case, seed, cold, load, not no_shares, backends) for case, first, n in rows
             for seed in range(1, seeds + 1)]
-    print("| case | nodes | N at first | got, of what is given | last second | worst window: got, N, bound | share |"
-          " strict |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
+    print("| case | nodes | N at first | got, of what is given | last second | worst window: got, N, bound "
+          "| share | strict |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
     with ProcessPoolExecutor(jobs) as pool:
         plays = pool.map(one, work)
         for case, first, n in rows:
             got = [next(plays) for _ in range(seeds)]
-            pace, end = got[0][0], cold.cold_for
-            share, most, allowed = max(cold.worst(sent, pace, cold.bears) for _, sent in got)
-            strict = max(cold.worst(sent, pace, cold.given)[0] for _, sent in got)
-            whole = sum(len(sent) for _, sent in got) / seeds
-            last = sum(moment >= end - SECOND for _, sent in got for moment in sent) / seeds
-            print(f"| {case} | {n} | {first:g} | {whole:.1f} of {pace * cold.over(cold.given, 0, end):.1f} | {last:.1f} "
-                  f"of {pace * cold.over(cold.given, end - SECOND, end):.1f} | {most}, {allowed:.1f}, "
-                  f"{bound(allowed):.1f} | {share:.2f} | {strict:.2f} |", flush=True)
+            warm, end = pace(first, cold), cold.cold_for
+            share, most, allowed = max(cold.worst(sent, warm, cold.bears) for sent in got)
+            strict = max(cold.worst(sent, warm, cold.given)[0] for sent in got)
+            whole = sum(map(len, got)) / seeds
+            last = sum(moment >= end - SECOND for sent in got for moment in sent) / seeds
+            given, late = (warm * cold.over(cold.given, since, end) for since in (0, end - SECOND))
+            print(f"| {case} | {n} | {first:g} | {whole:.1f} of {given:.1f} | {last:.1f} of {late:.1f} "
+                  f"| {most}, {allowed:.1f}, {bound(allowed):.1f} | {share:.2f} | {strict:.2f} |", flush=True)
 
 
 if __name__ == "__main__":
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -94,7 +94,7 @@
 FEWEST = 2              # backends; with fewer a node could lose all to one outage
 STEEP = 4               # power of the level in turns; nothing else evens out what few links bring by chance
 COLD_MARGIN = 0.5       # share of the cold budget used while colder; the rest is for uneven nodes and work
-COLD_BURST = 1.5        # trips saved up for a cold backend
+COLD_BURST, COLD_MORE, COLD_SPAN = 1.5, 2.0, 10000  # trips saved up, by one, by all; 1 s of what it bears
 OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
 RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
 GHOST = 1.5             # times typical; how long a trip that nobody waits for still counts as in flight
@@ -754,14 +754,14 @@
             kind for kind, at in self.asked_at.items() if at > self.count - COMES))
 
     def _cold_allows(self, b, now):
-        """Rule 4: this node's part of what a cold backend may be sent, from what the fleet is asked for."""
-        terms = self.terms
-        age = max(0, now - self.started[b])
-        capacity = min(1.0, terms.cold_from + (1 - terms.cold_from) * age / max(1, terms.cold_for))
-        part = max(COLD_MARGIN, capacity) * min(1.0, terms.tip_multiple * capacity)
-        pace = part * self.warm_pace * self.size[b]
-        self.allowance[b] = min(COLD_BURST, self.allowance[b] + pace * (now - self.allowed_at[b]))
-        self.allowed_at[b] = now
+        """Rule 4: this node's part of what a cold backend may be sent, and of what all may have saved up."""
+        terms, age, warm = self.terms, max(0, now - self.started[b]), self.warm_pace * self.size[b]
+        capacity = terms.cold_from + (1 - terms.cold_from) * age / max(1, terms.cold_for)
+        part = max(COLD_MARGIN, capacity) * min(1.0, (bears := terms.tip_multiple * capacity))
+        saved = self.allowance[b] + part * warm * (now - self.allowed_at[b])
+        more = (bears - part) * warm * COLD_SPAN + COLD_MORE * len(self.ranked) / len(self.turn) / terms.nodes
+        saved = min(saved, COLD_BURST if 1 + more >= COLD_BURST else more + (saved - more) % 1)
+        self.allowance[b], self.allowed_at[b] = saved, now
         return self.allowance[b] >= 1
 
     def _send(self, invocation, b, now):
