With no shares and all backends cold, nodes that have just started send something

Cause: where tenants have no shares a cold backend gets its part of what was settled lately. After a start of all nodes and backends nothing was, so nothing was sent, so nothing settled: 0 of 1,686 requests were answered in the 8 s of the cold time (1, 5 and 30 nodes). And what was settled was looked at only as the list or a trouble changed: one cold backend among 20 warm ones got 0 of 57 requests from fresh nodes.

Change: at least one trip at a time in the longest expected time, of all nodes together, times the cold part; drawn anew every 0.2 s while one is cold and no shares are told. The new test fails without it.

--- a/experiments/cold/budget.py
+++ b/experiments/cold/budget.py
@@ -88,9 +88,9 @@
     """So many nodes, each told of `pace` a second for each backend that tenants may ask for."""
 
     def __init__(self, nodes, pace, seed, cold, case="told", load=1.0, shares=True,
-                 backends=21):
+                 backends=21, all_cold=False):
         self.cold, self.case, self.seed, self.nodes = cold, case, seed, []
-        self.count, self.load, self.shares = nodes, load, shares
+        self.count, self.load, self.shares, self.all_cold = nodes, load, shares, all_cold
         self.backends, self.asked = backends, pace * backends
         self.chance, self.order, self.due = random.Random(seed), count(), []
         self.woken, self.sent = [None] * nodes, []
@@ -101,9 +101,10 @@
         shares = {"all": self.asked} if self.shares else {}
         return r.Terms(
             offerings=[r.Offering(0, "look", r.HARMLESS, "all", 0, 4000, 10000, 1.0)],
-            tenants=Tenants(shares), number=0 if undivided else number, nodes=1 if undivided else self.count, most_trips=3,
-            may_cancel=True, may_probe=False, retry_after=0, cold_for=self.cold.cold_for,
-            cold_from=self.cold.cold_from, tip_multiple=self.cold.tip_multiple, worst_offering=0.2)
+            tenants=Tenants(shares), number=0 if undivided else number,
+            nodes=1 if undivided else self.count, most_trips=3, may_cancel=True, may_probe=False,
+            retry_after=0, cold_for=self.cold.cold_for, cold_from=self.cold.cold_from,
+            tip_multiple=self.cold.tip_multiple, worst_offering=0.2)
 
     def at(self, moment, call, *what):
         heappush(self.due, (moment, next(self.order), call, what))
@@ -120,7 +121,7 @@
         return [moment - self.start for moment in self.sent]
 
     def _entry(self, b):
-        cold = b == 0 and self.now >= self.start
+        cold = (b == 0 or self.all_cold) and self.now >= self.start
         return r.Listed(f"b{b}", r.READY, "z", 0, self.start if cold else 0, 1.0)
 
     def _begin(self):
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -280,7 +280,7 @@
             after.append(b)
             if now < self.cold_until[b]:
                 size += self.size[b] * self.terms.cold_from
-                self.redraw_at = min(self.redraw_at, self.cold_until[b])
+                self.redraw_at = min(self.redraw_at, self.cold_until[b], NEVER if self.shares else now + SEE)
                 self._due(self.redraw_at)
             elif self.trouble[b] in COUNTED:
                 size += self.size[b]
@@ -291,8 +291,10 @@
         self.limit.fits(now, sound, part * sound * len(self.ranked) / max(1, len(after)))
         self.most = max(self.most, len(self.ranked))
         if after:
-            # Where tenants have no shares, what was settled lately: what is asked may be an overload.
-            asked = self.asked if self.shares else self._seen(now, "got")
+            # Where tenants have no shares, what was settled lately: what is asked may be an overload. A trip at
+            # a time of all nodes is none; with all cold and nothing settled, nothing at all would be sent.
+            least = len(self.ranked) / self.terms.nodes / max(o.expected for o in self.terms.offerings)
+            asked = self.asked if self.shares else max(least, self._seen(now, "got"))
             self.warm_pace = asked * len(self.ranked) ** 2 / (self.most * len(after) * self.total)
         self.largest = max((self.size[b] for b in after), default=1.0)
         if after == before:
--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -14,14 +14,14 @@
 budget = sys.modules["cold_budget"] = importlib.util.module_from_spec(SPEC)
 SPEC.loader.exec_module(budget)
 
-HARSH = budget.SETTINGS["harsh"]
+MILD, HARSH = budget.SETTINGS["mild"], budget.SETTINGS["harsh"]
 
 
 class ColdBudget(unittest.TestCase):
-    def share(self, nodes, at_first, case, seed=1, load=1.0):
+    def share(self, nodes, at_first, case, seed=1, **play):
         """The worst window's part of N + 2 x root of N + 2; `at_first`: N in the first one."""
         pace = budget.pace(at_first, HARSH)
-        sent = budget.Fleet(nodes, pace, seed, HARSH, case, load).play()
+        sent = budget.Fleet(nodes, pace, seed, HARSH, case, **play).play()
         self.assertTrue(sent, f"{nodes} nodes send it nothing")
         return HARSH.worst(sent, pace, HARSH.bears)[0]
 
@@ -38,6 +38,14 @@
         """One trip saved up at each of the 23 nodes that see it was 1.14 times what it bears."""
         self.assertLess(self.share(240, 2, "silence", load=0.2), 1)
 
+    def test_all_cold_and_no_shares_is_no_standstill(self):
+        """Nothing settled yet and no share told: nothing was sent to any backend for all of the cold time."""
+        for nodes in (1, 20):
+            fleet = budget.Fleet(nodes, 5.0, 1, MILD, "started", shares=False, all_cold=True)
+            sent = fleet.play()
+            self.assertGreater(len(sent), 5, f"{nodes} nodes")
+            self.assertLess(MILD.worst(sent, 5.0, MILD.bears)[0], 1)
+
 
 if __name__ == "__main__":
     unittest.main()
