--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -291,8 +291,8 @@
         self.limit.fits(now, sound, part * sound * len(self.ranked) / max(1, len(after)))
         self.most = max(self.most, len(self.ranked))
         if after:
-            # Where tenants have no shares, what was settled lately: what is asked may be an overload. A trip at
-            # a time of all nodes is none; with all cold and nothing settled, nothing at all would be sent.
+            # Where tenants have no shares, what was settled lately: what is asked may be an overload. A trip
+            # at a time of all nodes is none; with all cold and nothing settled, nothing at all would be sent.
             least = len(self.ranked) / self.terms.nodes / max(o.expected for o in self.terms.offerings)
             asked = self.asked if self.shares else max(least, self._seen(now, "got"))
             self.warm_pace = asked * len(self.ranked) ** 2 / (self.most * len(after) * self.total)
