--- a/pierglade/scale/figures.py
+++ b/pierglade/scale/figures.py
@@ -34,9 +34,15 @@
 
 
 def wrong_rows(rows, names, changed):
-    """How many backends a node's own call tells otherwise than discovery; `rows`: name to state."""
-    return sum(STATES.get(rows.get(name), "DELETED") != changed.get(name, ["SERVING", 0])[0]
-               for name in names)
+    """How many backends a node's own call tells otherwise than discovery; `rows`: name to state.
+
+    What is neither to be sent to nor has been sent to under the settings of now, the call leaves out.
+    """
+    wrong = 0
+    for name in names:
+        status = changed.get(name, ["SERVING", 0])[0]
+        wrong += STATES[rows[name]] != status if name in rows else status == "SERVING"
+    return wrong
 
 
 def spread(delays):
--- a/pierglade/scale/plan.py
+++ b/pierglade/scale/plan.py
@@ -243,7 +243,10 @@
     day = plan.day.restarts if scene.what == "restarts" else plan.day.changes
     span = scene.seconds - scene.tail_s() - 1
     gap = DAY_S / (day * scene.multiple)
-    return [1.0 + gap * k for k in range(max(1, int(span / gap)))]
+    count = max(1, int(span / gap))
+    if scene.what == "list":
+        count += count % 2      # what drains serves again
+    return [1.0 + gap * k for k in range(count)]
 
 
 def at_axis(plan, axis, share):
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -171,6 +171,14 @@
         told = [figures.since(at, lines, index) for at, index in ((0.5, 4), (1.5, 9), (2.5, 9), (3.5, 9))]
         self.assertEqual(told, [500.0, 500.0, 500.0, -1])
 
+    def test_what_a_real_node_tells_of_its_list(self):
+        """It leaves out what its settings of now never sent to: a draining one, not one that serves."""
+        names, changed = ["a", "b", "c"], {"b": ["DRAINING", 0], "c": ["SERVING", 5]}
+        for states, wrong in (("ready draining ready", 0), ("ready - ready", 0), ("ready draining -", 1),
+                              ("ready ready gone", 2)):
+            rows = {name: state for name, state in zip(names, states.split()) if state != "-"}
+            self.assertEqual(figures.wrong_rows(rows, names, changed), wrong, states)
+
     def test_answers_count_from_the_planned_moment(self):
         rows = [{"event": "sent", "id": "x", "t_ms": 100.0, "late_ms": 4.0},
                 {"event": "answer", "id": "x", "t_ms": 120.0, "status": 200},
