--- a/pierglade/scale/hollow.py
+++ b/pierglade/scale/hollow.py
@@ -16,9 +16,11 @@
 from gevent.fileobject import FileObjectPosix
 
 from pierglade import records as r
-from pierglade.__main__ import GARBAGE, Unusable, place_again, place_from
+from pierglade.__main__ import GARBAGE, Unusable, place_from, steps_again
+from pierglade.change import shares
 from pierglade.net.clock import Clock, Timer
 from pierglade.net.discovery import Discovery
+from pierglade.net.host import BETWEEN
 from pierglade.net.reducer import Reducer
 from pierglade.net.state import events as ev
 from pierglade.scale import child
@@ -125,17 +127,19 @@
 class Full(Hollow):
     """The real reducer, told of the list and of settings alone."""
 
-    def __init__(self, number, place, clock, at_first):
-        self.clock, self.place, self.at_first = clock, place, at_first
+    def __init__(self, number, discovery, clock, at_first):
+        self.clock, self.at_first = clock, at_first
         self.list_s, self.settings_s, self.settings_at = [], [], []
-        super().__init__(number, place.discovery)
+        super().__init__(number, discovery)
 
     def begin(self):
-        place, self.version = self.place, 0
+        self.place, self.version = place_from(os.environ), 0
+        place = self.place
         self.timer = Timer(self.clock, lambda late: self.tell(ev.WOKE))
         self.reducer = Reducer(place.seed, place.terms, self.clock.now(), place.sockets, place.discovery,
                                place.told)
         self.reducer.known(place.known)
+        place.known = {}    # as a node does: the reducer has what it needs of it
 
     def take(self, kind, *what):
         began = thread_time()
@@ -154,11 +158,12 @@
         self.timer.set(self.reducer.wake(self.clock.now()))
 
     def read_again(self):
-        """What a node does at SIGHUP; the one place that knows how."""
+        """What a host does at SIGHUP (`Host._reread`); the one place here that knows how."""
         began = thread_time()
-        place = place_again(self.place)
+        place = _in_steps(steps_again(self.place))
+        difference = _in_steps(shares.steps(self.reducer.terms.tenants, place.terms.tenants.shares))
         self.version = place.told["version"]
-        self.tell(ev.CONFIGURED, place.discovery, place.told, place.terms)
+        self.tell(ev.CONFIGURED, place.discovery, place.told, place.terms, difference)
         self.settings_s.append(thread_time() - began)
 
     def wrong(self, changed):
@@ -170,16 +175,23 @@
         return count
 
 
+def _in_steps(work):
+    while True:
+        try:
+            next(work)
+        except StopIteration as over:
+            return over.value
+        gevent.sleep(BETWEEN)
+
+
 class Process:
-    def __init__(self, spec):
-        self.plan = plan = msgspec.convert(spec["plan"], Plan)
+    def __init__(self, spec, at_first):
         self.all, numbers = [], range(spec["first"], spec["first"] + spec["count"])
-        at_first = names(plan)
         if spec["full"]:
             os.environ["BALANCER_CONFIG"] = spec["config"]
             clock = Clock()
             for number in numbers:
-                self.all.append(Full(number, place_from(os.environ), clock, at_first))
+                self.all.append(Full(number, spec["discovery"], clock, at_first))
         else:
             self.all = [Watching(number, spec["discovery"], at_first) for number in numbers]
         for node in self.all:
@@ -238,11 +250,12 @@
 def main():
     with open(sys.argv[1], "rb") as file:
         spec = msgspec.json.decode(file.read())
+    at_first = names(msgspec.convert(spec["plan"], Plan))
     commands = FileObjectPosix(0, "rb", closefd=False)
     child.say({"imported": True})
     commands.readline()     # told to go on, once it was seen how much a process takes with no node in it
     try:
-        process = Process(spec)
+        process = Process(spec, at_first)
     except Unusable as fault:
         child.fail(str(fault))
     gc.freeze()
