--- a/pierglade/scale/plan.py
+++ b/pierglade/scale/plan.py
@@ -14,6 +14,7 @@
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Some = Annotated[int, Meta(ge=0)]
 SCENES = ("calm", "list", "settings", "restarts", "zone", "discovery")
+REPEATS = {"look": "harmless", "pay": "one-shot"}   # what a repeat of each offering may do
 AXES = ("nodes", "backends", "tenants")
 DAY_S = 86400
 MOST_BACKENDS = 60000       # addresses that fit behind 127.1.0.0
