--- a/pierglade/scale/plan.py
+++ b/pierglade/scale/plan.py
@@ -14,6 +14,7 @@
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Some = Annotated[int, Meta(ge=0)]
 SCENES = ("calm", "list", "settings", "restarts", "zone", "discovery")
+REPEATS = {"look": "harmless", "pay": "one-shot"}   # what a repeat of each offering may do
 AXES = ("nodes", "backends", "tenants")
 DAY_S = 86400
 MOST_BACKENDS = 60000       # addresses that fit behind 127.1.0.0
@@ -243,7 +244,10 @@
     day = plan.day.restarts if scene.what == "restarts" else plan.day.changes
     span = scene.seconds - scene.tail_s() - 1
     gap = DAY_S / (day * scene.multiple)
-    return [1.0 + gap * k for k in range(max(1, int(span / gap)))]
+    count = max(1, int(span / gap))
+    if scene.what == "list":
+        count += count % 2      # what drains serves again
+    return [1.0 + gap * k for k in range(count)]
 
 
 def at_axis(plan, axis, share):
