--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -9,7 +9,7 @@
 
 import random
 from bisect import bisect_left, insort
-from collections import deque
+from collections import OrderedDict, deque
 from hashlib import blake2b
 from heapq import heappop, heappush
 from math import exp, log, sqrt
@@ -18,6 +18,7 @@
 from pierglade.records import (
     ASK, BOUNCE, CALL_OFF, CALLED_OFF, GIVE_UP, GONE, HARMLESS, NEVER_RAN, NEVER_SENT, ONE_SHOT, PROBE, READY,
     REJECTED, SEND, SETTLED, STAMPED, TIMED_OUT, TURNED_AWAY, UNREACHABLE, WITH_PROBES, Trip)
+from pierglade.tenants import Middle
 
 # Constants. Times are tenths of a millisecond.
 WINDOW_LOW, WINDOW_MEDIUM, WINDOW_HIGH = 3000, 300, 30   # samples; the design's forecast windows by band
@@ -48,10 +49,10 @@
 COMES = 100             # invocations; a kind that none of these was of comes no more, or too seldom
 TRIAL_GAP, TRIAL_GAP_MOST = 1500, 40000   # 150 ms, 4 s; between trials, doubled after each bad one
 DEAR = 0.05             # of an invocation's worth for each crossing; less is no reason to crowd the own zone
-DRAGS = 2.5             # times what others take; a member's work that takes so long is slow wherever it goes
+DRAGS = 2.5             # times what others take; a tenant's work that takes so long is slow wherever it goes
 DRAG_HEED = 1 / 8       # share of a new answer in that
 DRAG_MOST, DRAG_TRIES = 20.0, 16        # times; one in so many goes out though it would come late
-DRAG_SPAN = 50000       # 5 s; a member that was slow is as others again within this, unless it is seen slow
+DRAG_SPAN = 50000       # 5 s; a tenant that was slow is as others again within this, unless it is seen slow
 CROWD = 1.0             # times the mean in flight; far more than chance piles up on one backend
 CROWD_FLOOR = 0.5       # trips; below this much over the mean nothing is crowded
 EXTRA_SHARE = 0.2       # further trips earned by each invocation, so that they cannot feed an overload
@@ -95,8 +96,8 @@
 STEEP = 4               # power of the level in turns; nothing else evens out what few links bring by chance
 COLD_MARGIN = 0.5       # share of the cold budget used while colder; the rest is for uneven nodes and work
 COLD_BURST = 1.5        # trips saved up for a cold backend
-OVER_SHARE = 1.3        # times its share; nodes see members unevenly, and two seconds of a small one are few
-RATE_SPAN = 20000       # 2 s; span over which a member's rate is seen
+OVER_SHARE = 1.3        # times its share; nodes see tenants unevenly, and two seconds of a small one are few
+RATE_SPAN = 20000       # 2 s; span over which a tenant's rate is seen
 GHOST = 1.5             # times typical; how long a trip that nobody waits for still counts as in flight
 LIGHT = 0.1             # share of the work asked for; so little of it need not wait for room
 WAITED = 0.1            # share of the expected time; an oldest held wait beyond it ranks what is held by gain
@@ -115,17 +116,16 @@
 COUNTED = (None, SLOW)  # trips on the others come to nothing and must not use up the limit
 
 
-# Of each backend an array, and what a new one begins with: who and where it is, its size; when it started
-# and left; what may go to it while cold; trips out, level, losses; trouble, trials; what reports say (settled
-# in a second for all nodes, cores in use, usually settled by all cores); the forecast's samples.
-FIRST = dict(
-    names=None, rank=None, state=GONE, zone=None, cell=None, size=0.0, owed=0.0,
-    started=0, left_at=0, cold_until=0, allowance=0.0, allowed_at=0,
-    out=None, last_answer=0, quick=1.0, level=1.0, errors=0.0,
-    trouble=None, since=0, until=0, relapses=0, trial_at=0, trial_gap=TRIAL_GAP, trial_due=False,
-    trials_out=0, told_pace=None, told_busy=0.0, told_queue=0.0, told_at=0, usual=0.0, usual_of=0,
-    work=0, samples=None, sums=None, window=WINDOW_MEDIUM, pauses=None, mean_pause=FIRST_PAUSE, work_due=None,
-    forecast=None)
+# Of each backend an array, and what a new one begins with. Its process's past: losses, the forecast's samples.
+HISTORY = dict(errors=0.0, relapses=0, quick=1.0, work=0, samples=(), sums=(0, 0, 0, 0), window=WINDOW_MEDIUM,
+               pauses=(), mean_pause=FIRST_PAUSE, work_due=None, forecast=None)
+# Who and where it is, its size; when it started and left; what may go to it while cold; level; trouble, trials;
+# what reports say (settled in a second for all nodes, cores in use, usually settled by all cores).
+FIRST = HISTORY | dict(
+    names=None, rank=None, state=GONE, zone=None, cell=None, size=0.0, owed=0.0, started=0, left_at=0,
+    cold_until=0, allowance=0.0, allowed_at=0, last_answer=0, level=1.0, trouble=None, since=0, until=0,
+    trial_at=0, trial_gap=TRIAL_GAP, trial_due=False, trials_out=0, told_pace=None, told_busy=0.0,
+    told_queue=0.0, told_at=0, usual=0.0, usual_of=0)
 
 
 class Row:
@@ -157,15 +157,14 @@
                          for kind in (HARMLESS, STAMPED, ONE_SHOT)}
         self.table = [Row(o) for o in terms.offerings]
         # What is known of each backend, under a dense index: the arrays of FIRST.
-        self.index = {}
+        self.index, self.gone = {}, OrderedDict()   # by name; those that left, the longest gone first
         for name in FIRST:
             setattr(self, name, [])
         # The rotation: from the ring of ready backends, as many as this node can keep in view.
         self.done = 0.0             # trips settled lately
-        self.drag = 1.0             # times typical that members' work takes, in the middle one
+        self.drags, self.drag = Middle(DRAG_SPAN), 1.0  # times typical that tenants' work takes
         self.home = terms.zone if terms.crossing >= DEAR else None
-        self.shares = any(member.per_second for member in terms.members)
-        self.asked = sum(member.per_second for member in terms.members) / terms.nodes / 10000
+        self.shares, self.asked = terms.tenants.total > 0, terms.tenants.total / terms.nodes / 10000
         self.asked_over = 0.0       # span over which the table's figures are seen, fading with them
         # Without a word of what others are asked for, rounds of trips find the room (docs/notes/limit.md).
         self.learns = bool(not self.shares and terms.nodes > 1 and terms.reports)
@@ -173,7 +172,7 @@
         self.part = 1.0             # times the mean of all nodes that this one is asked for
         self.forget, self.most = FORGET * max(o.hard_limit for o in terms.offerings), 0     # ready at once
         self.warm_pace = 0.0        # what a warm backend in view gets from this node, by size and time
-        self.ranked, self.redraw_at = [], NEVER
+        self.ranked, self.total, self.redraw_at = [], 0.0, NEVER    # the ring, its size
         self.turn, self.at, self.anchor, self.move_at = [], 0, b"", now
         self.largest, self.slow_ones, self.steep = 1.0, 0, STEEP if self.learns else 1
         # Heaps of (moment of the expected time, count, invocation), one an offering.
@@ -188,11 +187,10 @@
         self.lost = LOST_LEAST      # share of trips that come to nothing at backends that are well
         self.unsettled = 0.0        # invocations that their clients may come back with
         self.overloaded, self.ahead = False, None   # the queue that need not wait for room
-        self.flying, self.ailing = {}, {}       # backends with trips out, and those in trouble
-        self.sweep_at = NEVER
+        self.flying, self.ailing = {}, {}       # of backends the trips out; those in trouble
         self.swept = self.see_at = self.room_at = self.seen_at = now
         self.ask_at, self.ask_gap = (now if terms.asks_list else NEVER), ASK_GAP
-        self._due(self.ask_at)
+        self.sweep_at = self.ask_at
         self.slower_since, self.rest_until, self.rest_again = NEVER, 0, 0
         # Where a pace is told, it grows soon enough by that.
         blind = self.learns and terms.reports == WITH_PROBES and "pace" not in terms.gauges
@@ -201,6 +199,12 @@
 
     # Inputs: they update what is known.
 
+    def shared(self, now):
+        """What tenants may ask has changed; they have shares, and had some before."""
+        self.asked = self.limit.asked = self.terms.tenants.total / self.terms.nodes / 10000
+        self.in_view = max(FEWEST, int(self.asked * IN_VIEW))
+        self._draw_turn(now)
+
     def known(self, keys):
         """What a restart would forget: the table's rows, `keys` of FIRST by name of each ready backend."""
         return [vars(row) for row in self.table], {
@@ -245,7 +249,9 @@
             self.left_at[b] = 0
             if self.state[b] != READY:
                 self.state[b] = READY
+                self.gone.pop(b, None)
                 insort(self.ranked, b, key=self.rank.__getitem__)
+        self.total = sum(map(self.size.__getitem__, self.ranked))
         self._draw_turn(now)
 
     def unlisted(self, now, soon=False):
@@ -257,10 +263,8 @@
 
     def _draw_turn(self, now):
         """The rotation runs over as many of the ring as are enough sound ones; it starts at random."""
-        before, after = self.turn, []
-        sound, size = 0, 0.0
-        total = sum(map(self.size.__getitem__, self.ranked))
-        enough = self.in_view and self.in_view * total
+        before, after, sound, size = self.turn, [], 0, 0.0
+        enough = self.in_view and self.in_view * self.total
         self.redraw_at = NEVER
         # Evenly round one ring: by chance some were in two thirds more views; each move opens connections.
         count = len(self.ranked)
@@ -287,15 +291,15 @@
         self.limit.fits(now, sound, part * sound * len(self.ranked) / max(1, len(after)))
         self.most = max(self.most, len(self.ranked))
         if after:
-            # Where members have no shares, what was settled lately: what is asked may be an overload.
+            # Where tenants have no shares, what was settled lately: what is asked may be an overload.
             asked = self.asked if self.shares else self._seen(now, "got")
-            self.warm_pace = asked * len(self.ranked) ** 2 / (self.most * len(after) * total)
+            self.warm_pace = asked * len(self.ranked) ** 2 / (self.most * len(after) * self.total)
         self.largest = max((self.size[b] for b in after), default=1.0)
         if after == before:
             return
-        self.turn = after
-        following = [b for b in before[self.at:] + before[:self.at] if b in after]
-        self.at = after.index(following[0]) if following else self.pick(max(1, len(after)))
+        self.turn, kept = after, set(after)
+        following = next((b for b in before[self.at:] + before[:self.at] if b in kept), None)
+        self.at = self.pick(max(1, len(after))) if following is None else after.index(following)
 
     def _seen(self, now, what):
         """How many first tries were asked for, or settled, in a tenth of a millisecond of late."""
@@ -303,7 +307,7 @@
         return sum(getattr(row, what) for row in self.table) / max(over, SEEN_LEAST)
 
     def _see(self, now):
-        """Where members have no shares, a node's part of all that is asked follows from what comes to it."""
+        """Where tenants have no shares, a node's part of all that is asked follows from what comes to it."""
         self.asked = self.limit.asked = max(SOME, self._seen(now, "asked"))
         told = [b for b in self.turn if self.told_at[b] and now >= self.cold_until[b]]
         paced = [b for b in told if self.told_pace[b] is not None]
@@ -374,10 +378,10 @@
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_SHARE)
         if self.terms.further_span:
             self.earned.append(now)
-        member = invocation.member
-        if member is not None:
-            member.rate = member.rate * max(0.0, 1 - (now - member.seen) / RATE_SPAN) + 1
-            member.seen = now
+        tenant = invocation.tenant
+        if tenant is not None:
+            tenant.rate = tenant.rate * max(0.0, 1 - (now - tenant.seen) / RATE_SPAN) + 1
+            tenant.seen = now
         invocation.held = invocation.arrived
         invocation.expected = invocation.arrived + self._time_left(invocation)
         self.count += 1
@@ -389,29 +393,29 @@
             # Few invocations cost what their offering does in the mean: unweighed, heavy ones look queued.
             row.hinted += (invocation.hint - row.hinted) * (TYPICAL if row.hinted else 1)
             invocation.cost = max(COST_LEAST, min(COST_MOST, invocation.hint / row.hinted))
-        elif member is not None and (drag := self._drag(member, now) / self.drag) > DRAGS:
+        elif tenant is not None and (drag := self._drag(tenant, now) / self.drag) > DRAGS:
             # Some go out all the same, or nobody would see that the others are as quick as ever again.
-            member.slow += 1
-            invocation.cost = drag if member.slow % DRAG_TRIES else min(drag, COST_MOST)
+            tenant.slow += 1
+            invocation.cost = drag if tenant.slow % DRAG_TRIES else min(drag, COST_MOST)
         heappush(self.held[o], (invocation.expected, self.count, invocation))
         self.line.append(invocation)
         self._due(now + SWEEP)
 
-    def _drag(self, member, now):
+    def _drag(self, tenant, now):
         """Fades by itself, so that what is bounced for it is tried again, one more and one more."""
-        return 1 + (member.drag - 1) * max(0.0, 1 - (now - member.dragged) / DRAG_SPAN)
+        return 1 + (tenant.drag - 1) * max(0.0, 1 - (now - tenant.dragged) / DRAG_SPAN)
 
     def _see_drag(self, now, invocation, took, whole):
-        """A member's work may be slow at every backend: no backend is slow or silent for that."""
-        member = invocation.member
-        if member is None or invocation.hint:
+        """A tenant's work may be slow at every backend: no backend is slow or silent for that."""
+        tenant = invocation.tenant
+        if tenant is None or invocation.hint:
             return
         ratio = min(DRAG_MOST, max(took, GRAIN) / max(self.table[invocation.offering.index].typical, GRAIN))
-        drag = self._drag(member, now)
+        drag = self._drag(tenant, now)
         if not whole and ratio < drag:
             return      # So long at least; it tells nothing where that is as usual.
-        member.drag = drag + (ratio - drag) * DRAG_HEED
-        member.dragged = now
+        tenant.drag, tenant.dragged = drag + (ratio - drag) * DRAG_HEED, now
+        self.drags.see(now, tenant.name, tenant.drag)
 
     def _time_left(self, invocation):
         """How much of the expected time is left, which runs from the client's first try."""
@@ -470,8 +474,8 @@
             self._after_loss(now, invocation, outcome)
 
     def _leave_flight(self, b, trip, now):
-        del self.out[b][trip]
-        if not self.out[b]:
+        del self.flying[b][trip]
+        if not self.flying[b]:
             del self.flying[b]
         if self.trouble[b] in COUNTED:
             self.limit.counts(now, -1)
@@ -668,7 +672,7 @@
         return gain / row.typical
 
     def _relieve(self, now):
-        """Overload is told by the oldest held wait; what members ask beyond their share goes first."""
+        """Overload is told by the oldest held wait; what tenants ask beyond their share goes first."""
         line = self.line
         while line and (line[0].over or line[0].trips):
             line.popleft()
@@ -682,14 +686,14 @@
             self._due(now + SWEEP)
         if waited > PATIENCE:
             for invocation in line:
-                if not (invocation.over or invocation.trips) and self._over_share(invocation.member, now):
+                if not (invocation.over or invocation.trips) and self._over_share(invocation.tenant, now):
                     self.finals.append(self._final(invocation))
 
-    def _over_share(self, member, now):
-        if member is None or not member.per_second:
+    def _over_share(self, tenant, now):
+        if tenant is None or not tenant.per_second:
             return False
-        rate = member.rate * max(0.0, 1 - (now - member.seen) / RATE_SPAN) / (RATE_SPAN / 10000)
-        return rate * self.terms.nodes > OVER_SHARE * member.per_second
+        rate = tenant.rate * max(0.0, 1 - (now - tenant.seen) / RATE_SPAN) / (RATE_SPAN / 10000)
+        return rate * self.terms.nodes > OVER_SHARE * tenant.per_second
 
     # The rotation.
 
@@ -736,7 +740,7 @@
             if self.slow_ones * 2 <= len(self.turn):
                 return SLOW
         most = 1 + CROWD_FLOOR + CROWD * self.limit.busy / self.limit.sound
-        if self.out[b] and (len(self.out[b]) + 1) * self.level[b] > most:
+        if (out := self.flying.get(b)) and (len(out) + 1) * self.level[b] > most:
             return "crowded"
         forecast = self.forecast[b]
         if forecast is not None:
@@ -780,7 +784,7 @@
             if self.unprobed >= 1:
                 self.unprobed -= 1
                 self.probes.append(min(self.turn, key=self.told_at.__getitem__))
-        self.out[b][trip] = self.flying[b] = None
+        self.flying.setdefault(b, {})[trip] = None
         self._due(now + max(SWEEP, int(SILENT_LEAST * self.table[invocation.offering.index].typical)))
         if invocation.trips and self.terms.further_span:
             self.spent.append(now)
@@ -857,7 +861,7 @@
     def _mark(self, b, trouble, now):
         """Keeps the counts that depend on which trouble a backend has."""
         before = self.trouble[b]
-        self.limit.counts(now, len(self.out[b]) * ((trouble in COUNTED) - (before in COUNTED)))
+        self.limit.counts(now, len(self.flying.get(b, ())) * ((trouble in COUNTED) - (before in COUNTED)))
         self.slow_ones += (trouble is SLOW) - (before is SLOW)
         self.trouble[b] = trouble
         if trouble is None:
@@ -909,9 +913,8 @@
         self.done *= fade
         for row in self.table:
             row.asked, row.got = row.asked * fade, row.got * fade
-        # In the mean of all a large slow member hid itself; where all are slow, none is.
-        drags = sorted(m.drag for m in self.terms.members if now - m.dragged < DRAG_SPAN)
-        self.drag = max(1.0, drags[(len(drags) - 1) // 2]) if drags else 1.0
+        # In the mean of all a large slow tenant hid itself; where all are slow, none is.
+        self.drag = max(1.0, self.drags.figure(now) or 1.0)
         if self.learns and now >= self.see_at:
             self.see_at = now + SEE
             self._see(now)
@@ -937,7 +940,7 @@
 
         Returns when to listen again.
         """
-        trips = self.out[b]
+        trips = self.flying[b]
         for trip in [t for t in trips if t.outcome and now >= t.until]:
             self._leave_flight(b, trip, now)
         if not trips:
@@ -972,25 +975,23 @@
 
     def _sample(self, b, now):
         self.work[b] += 1
+        if not self.samples[b]:     # On a large fleet most backends are never sent to.
+            self.samples[b], self.sums[b] = deque(), [0, 0, 0, 0]
         work, samples, sums = self.work[b], self.samples[b], self.sums[b]
         samples.append(now)     # Each is one unit of work after the one before.
-        sums[0] += work
-        sums[1] += now
-        sums[2] += work * work
-        sums[3] += work * now
+        for n, each in enumerate((work, now, work * work, work * now)):
+            sums[n] += each
         while len(samples) > self.window[b]:
             old_work, old_now = work - len(samples) + 1, samples.popleft()
-            sums[0] -= old_work
-            sums[1] -= old_now
-            sums[2] -= old_work * old_work
-            sums[3] -= old_work * old_now
+            for n, each in enumerate((old_work, old_now, old_work * old_work, old_work * old_now)):
+                sums[n] -= each
         if self.work_due[b] is not None:
             self._project(b)
 
     def _pause(self, b, lasted):
         """A pause has ended: it enters the regressions, the band is checked, the next one is forecast."""
         self.mean_pause[b] += (lasted - self.mean_pause[b]) // 4
-        pauses = self.pauses[b]
+        pauses = self.pauses[b] = self.pauses[b] or deque(maxlen=PAUSES_KEPT)
         pauses.append(self.work[b])
         self.forecast[b] = self.work_due[b] = None
         if len(pauses) < PAUSES_NEEDED:
@@ -1020,29 +1021,25 @@
     # The list.
 
     def _new_index(self, name, now):
-        b = next((b for b, state in enumerate(self.state)
-                  if state == GONE and not self.out[b] and now - self.left_at[b] > self.forget),
-                 len(self.names))
-        if b < len(self.names):
-            del self.index[self.names[b]]
+        b = next((b for b in self.gone if b not in self.flying), None)
+        if b is None or now - self.left_at[b] <= self.forget:
+            b = len(self.names)
+        else:
+            del self.index[self.names[b]], self.gone[b]
             self.ailing.pop(b, None)    # What ailed the one before must not cost the new one probes.
         for array, first in FIRST.items():
             getattr(self, array)[b:b + 1] = [first]     # appends where b is new
-        self.names[b], self.rank[b] = name, blake2b(name.encode(), digest_size=8).digest()
+        self.names[b], self.rank[b] = name, blake2b(name.encode(), digest_size=8).digest() + name.encode()
         self.left_at[b], self.allowed_at[b], self.owed[b] = now, now, self.pick(1000) / 1000
-        self.out[b] = {}
         self.index[name] = b
-        self._forget_history(b, now)
         return b
 
     def _forget_history(self, b, now):
         """A process that has started anew pauses anew, and what ailed the one before is not its own."""
         if self.trouble[b] is not None:
             self._mark(b, None, now)
-        self.errors[b], self.relapses[b], self.quick[b] = 0.0, 0, 1.0
-        self.work[b], self.samples[b], self.sums[b] = 0, deque(), [0, 0, 0, 0]
-        self.pauses[b], self.work_due[b], self.forecast[b] = deque(maxlen=PAUSES_KEPT), None, None
-        self.window[b], self.mean_pause[b] = WINDOW_MEDIUM, FIRST_PAUSE
+        for name, first in HISTORY.items():
+            getattr(self, name)[b] = first
 
     def _leave(self, b, state, now):
         """Rule 3: from the moment the list says that it drains or is gone, it is out of the rotation."""
@@ -1053,9 +1050,11 @@
                 if self.trouble[b] in COUNTED:
                     self._begin(b, FAILING, now)
                 return
-            self.ranked.remove(b)
+            self.total -= self.size[b]
+            del self.ranked[bisect_left(self.ranked, self.rank[b], key=self.rank.__getitem__)]
             self.left_at[b] = now
             if self.trouble[b] is SLOW:
                 # Gone, it must not count to the slow ones for ever, or shared trouble would seem to last.
                 self._mark(b, None, now)
         self.state[b] = state
+        (self.gone.setdefault if state == GONE else self.gone.pop)(b, None)
--- a/pierglade/terms.py
+++ b/pierglade/terms.py
@@ -5,6 +5,7 @@
 """
 
 from pierglade import records as r
+from pierglade.tenants import Tenants
 
 # What reports hold, as settings name it and as backends on sockets may.
 GAUGES = {"throughput": "pace", "qps": "pace", "backlog": "queue", "queue": "queue", "utilization": "busy",
@@ -13,6 +14,7 @@
 REPEATS = {"free": r.HARMLESS, "guarded": r.STAMPED, "single_shot": r.ONE_SHOT}
 
 BUDGET = ("lookBackUs", "extraFloor", "resendRatio")
+FIGURES = {}            # shares by themselves: most of many thousand tenants have one of a few
 FAR_OFF = 10 ** 12      # microseconds; over a week; no client waits for so long, and 1e400 is no figure
 
 
@@ -122,20 +124,35 @@
     return isinstance(value, list) and all(isinstance(name, str) for name in value)
 
 
-def terms_from(settings):
-    """Keys that are not known are skipped."""
+def shares_from(rows, first=0):
+    """Shares by name, of rows of `customers` of which the first stands at the place `first`."""
+    if not isinstance(rows, list):
+        raise Wrong(f"settings.customers is {rows!r}, no list of rows")
+    shares = {}
+    for place, row in enumerate(rows, first):
+        if not isinstance(row, dict) or not isinstance(row.get("name"), str):
+            raise Wrong(f"settings.customers.{place} is {row!r}, no tenant with a name")
+        share = row.get("quotaPerS") or 0
+        if type(share) not in (int, float) or not 0 <= share < FAR_OFF:
+            raise Wrong(f"settings.customers.{place}.quotaPerS is {share!r}, no figure from 0 on")
+        shares[row["name"]] = FIGURES.setdefault(share, float(share)) if len(FIGURES) < 1000 else float(share)
+    return shares
+
+
+def terms_from(settings, shares=None):
+    """Keys that are not known are skipped. `shares`: of the customers, where they were read already."""
     rows = _needed(settings, "offerings", lambda value: isinstance(value, list) and value, "no list of rows")
     offerings = [_offering(i, row) for i, row in enumerate(rows)]
     if len({o.name for o in offerings}) < len(offerings):
         raise Wrong("settings.offerings holds a name twice")
-    members = [r.Member(m["name"], float(m.get("quotaPerS") or 0)) for m in settings.get("customers") or []]
+    tenants = Tenants(shares_from(settings.get("customers") or []) if shares is None else shares)
     limits, contract = settings["limits"], settings["contract"]
     reports = REPORTS[_one_of(REPORTS, settings, "loadInfo.via") or "silent"]
     fields = _checked(settings, "loadInfo.fields", _names, "no list of names", [])
     gauges = tuple(GAUGES.get(field) for field in fields)
     goal = {k: v for k, v in (settings.get("goal") or {}).items() if k != "tailMiss"}
     return r.Terms(
-        offerings=offerings, members=members, number=_count(settings, "me", 0),
+        offerings=offerings, tenants=tenants, number=_count(settings, "me", 0),
         nodes=_count(settings, "siblings", 1),
         most_trips=_count(settings, "limits.mostTrips", 1), may_cancel=bool(limits.get("mayCancel")),
         may_probe=_checked(settings, "limits.probes", lambda value: type(value) is bool,
