--- a/experiments/capacity/slopes.py
+++ b/experiments/capacity/slopes.py
@@ -26,8 +26,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT))
 
-import numpy  # noqa: E402 - the checkout that this file stands in
-import orjson  # noqa: E402
+import orjson  # noqa: E402 - the checkout that this file stands in
 
 TENANTS, BACKENDS, NODES, RATE = 47000, 6800, 720, 170000     # the target
 LEAST = {"tenants": 100, "backends": 32, "nodes": 5}
@@ -422,31 +421,8 @@
             else round(value, 4) if isinstance(value, float) else value for key, value in found.items()}
 
 
-MODELS = {"constant": lambda x: [x * 0 + 1], "linear": lambda x: [x * 0 + 1, x],
-          "square": lambda x: [x * 0 + 1, x, x * x]}
-
-
-def fit(xs, ys):
-    """The plainest shape that explains the figures: its name, coefficients, error as a share of the whole's.
-
-    A further coefficient has to halve the error and to stand for more than 5% at the whole; a square's
-    coefficient has to be above nought.
-    """
-    x, y = numpy.array(xs, float), numpy.array(ys, float)
-    scale = max(abs(y[x == x.max()].mean()), 1e-12)
-    best = None
-    for name, columns in MODELS.items():
-        matrix = numpy.stack(columns(x), axis=1)
-        found, *_ = numpy.linalg.lstsq(matrix, y, rcond=None)
-        spare = max(1, len(y) - len(found))
-        error = float(numpy.sqrt(((matrix @ found - y) ** 2).sum() / spare)) / scale
-        part = abs(found[-1]) * x.max() ** (len(found) - 1) / scale
-        if best is None or error < best[2] / 2 and part > 0.05 and (name != "square" or found[-1] > 0):
-            best = (name, [float(c) for c in found], error)
-    return best
-
-
 def show(paths):
+    from pierglade.scale.fit import fit     # rows need nothing of it, so that they play on earlier commits
     for path in paths:
         result = json.loads(pathlib.Path(path).read_text())
         print(f"\n{path}: {result['commit']}, {result['plays']} plays, {result['began']} to "
@@ -459,10 +435,11 @@
         for name in names:
             for axis in LEAST:
                 xs, ys = zip(*((row[axis], row[name]) for row in good if row["axis"] == axis))
-                shape, found, error = fit(xs, ys)
+                one = fit(list(zip(xs, ys)))
                 means = [sum(y for at, y in zip(xs, ys) if at == x) / xs.count(x) for x in sorted(set(xs))]
                 print(f"{name:17} {axis:9}", *(f"{mean:11.4g}" for mean in means),
-                      f"  {shape:9} {' '.join(f'{c:.3g}' for c in found):28} error {error:.1%}")
+                      f"  {one.shape:9} {one.base:.3g} {one.slope:.3g}, power {one.exponent:.2f}, "
+                      f"error {one.error:.0%}")
             for axis in ("least", "all"):
                 ys = [row[name] for row in good if row["axis"] == axis]
                 print(f"{name:17} {axis:9}", f"{sum(ys) / len(ys):11.4g}  ({min(ys):.4g} to {max(ys):.4g})")
