--- a/pierglade/scale/fit.py
+++ b/pierglade/scale/fit.py
@@ -24,6 +24,7 @@
     """The Fit of [(x, y)], of which there are three at least: the shape with the least error.
 
     An error is that of the points over those that the shape leaves free, so that a slope has to earn itself.
+    What falls along an axis is taken for constant with that error: no need does.
     """
     if len(points) < 3:
         raise ValueError("a shape needs three points at least")
@@ -32,6 +33,8 @@
     fits = []
     for shape, power in SHAPES.items():
         base, slope = (mean, 0.0) if power is None else _line([(x ** power, y) for x, y in points])
+        if slope < 0:
+            continue
         one = Fit(shape, base, slope, 0.0, exponent)
         free = len(points) - (1 if power is None else 2)
         left = math.sqrt(math.fsum((y - one.at(x)) ** 2 for x, y in points) / free)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -52,6 +52,10 @@
     def test_what_lies_within_a_tenth_does_not_grow(self):
         self.assertEqual(fit([(1, 100.0), (2, 103.0), (4, 106.0)]).shape, "constant")
 
+    def test_what_falls_is_constant(self):
+        one = fit([(1, 13.0), (2, 12.0), (4, 11.0), (8, 8.0)])
+        self.assertEqual((one.shape, one.base), ("constant", 11.0))
+
     def test_noise_is_told_as_error(self):
         self.assertGreater(fit([(1, 10.0), (2, 70.0), (4, 5.0), (8, 60.0)]).error, 0.5)
 
