--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -83,7 +83,7 @@
 REST_EACH, REST_IN = 60000, 10000   # 6 s, 1 s; rests begin at multiples of the one, within the other
 REST_FOR, REST_AGAIN = 50000, 110000    # 5 s, 11 s; a rest, and from its start to another
 REST_PART = 0.2         # of the limit; cores are then less than half in use
-ASK_GAP, ASK_GAP_MOST, ASK_SOON = 20000, 160000, 6000   # 2, 16, 0.6 s; mean until the list is asked for again
+ASK_GAP, ASK_WITHIN, ASK_SOON = 20000, 44000, 6000  # 2, 4.4, 0.6 s; a change counts as told after 6 s
 COST_LEAST, COST_MOST = 0.25, 4.0   # times the mean; hints are not to be trusted beyond
 SOME = 1e-5             # 0.1 a second; a node that nothing has come to yet is asked for that much
 SEEN_LEAST = 5000       # 0.5 s; what came in less is luck
@@ -95,7 +95,7 @@
 FEWEST = 2              # backends; with fewer a node could lose all to one outage
 STEEP = 4               # power of the level in turns; nothing else evens out what few links bring by chance
 COLD_MARGIN = 0.5       # share of the cold budget used while colder; the rest is for uneven nodes and work
-COLD_BURST = 1.5        # trips saved up for a cold backend
+COLD_BURST, COLD_MORE, COLD_SPAN = 1.5, 2.0, 10000  # trips saved up, by one, by all; 1 s of what it bears
 OVER_SHARE = 1.3        # times its share; nodes see tenants unevenly, and two seconds of a small one are few
 RATE_SPAN = 20000       # 2 s; span over which a tenant's rate is seen
 GHOST = 1.5             # times typical; how long a trip that nobody waits for still counts as in flight
@@ -254,11 +254,11 @@
         self.total = sum(map(self.size.__getitem__, self.ranked))
         self._draw_turn(now)
 
-    def unlisted(self, now, soon=False):
-        """The list could not be had, or is followed no more: it is asked for again, `soon` or ever later."""
-        # All nodes lose it at once, and at once they would ask: by chance apart, and seldom enough.
-        self.ask_at = now + (gap := min(self.ask_gap, ASK_SOON if soon else NEVER)) // 2 + self.pick(gap)
-        self.ask_gap = min(ASK_GAP_MOST, self.ask_gap * 2)
+    def unlisted(self, now, waited=0):
+        """The list could not be had, or is followed no more; `waited`: since its last word or its call."""
+        # All nodes lose it at once, and at once they would ask: by chance apart, and as seldom as may be.
+        gap = max(ASK_SOON, min(self.ask_gap, (ASK_WITHIN - waited) * 2 // 3))
+        self.ask_at, self.ask_gap = now + gap // 2 + self.pick(gap), min(ASK_WITHIN, self.ask_gap * 2)
         self._due(self.ask_at)
 
     def _draw_turn(self, now):
@@ -280,7 +280,7 @@
             after.append(b)
             if now < self.cold_until[b]:
                 size += self.size[b] * self.terms.cold_from
-                self.redraw_at = min(self.redraw_at, self.cold_until[b])
+                self.redraw_at = min(self.redraw_at, self.cold_until[b], NEVER if self.shares else now + SEE)
                 self._due(self.redraw_at)
             elif self.trouble[b] in COUNTED:
                 size += self.size[b]
@@ -291,8 +291,10 @@
         self.limit.fits(now, sound, part * sound * len(self.ranked) / max(1, len(after)))
         self.most = max(self.most, len(self.ranked))
         if after:
-            # Where tenants have no shares, what was settled lately: what is asked may be an overload.
-            asked = self.asked if self.shares else self._seen(now, "got")
+            # Where tenants have no shares, what was settled lately: what is asked may be an overload. A trip
+            # at a time of all nodes is none; with all cold and nothing settled, nothing at all would be sent.
+            least = len(self.ranked) / self.terms.nodes / max(o.expected for o in self.terms.offerings)
+            asked = self.asked if self.shares else max(least, self._seen(now, "got"))
             self.warm_pace = asked * len(self.ranked) ** 2 / (self.most * len(after) * self.total)
         self.largest = max((self.size[b] for b in after), default=1.0)
         if after == before:
@@ -758,14 +760,14 @@
             kind for kind, at in self.asked_at.items() if at > self.count - COMES))
 
     def _cold_allows(self, b, now):
-        """Rule 4: this node's part of what a cold backend may be sent, from what the fleet is asked for."""
-        terms = self.terms
-        age = max(0, now - self.started[b])
-        capacity = min(1.0, terms.cold_from + (1 - terms.cold_from) * age / max(1, terms.cold_for))
-        part = max(COLD_MARGIN, capacity) * min(1.0, terms.tip_multiple * capacity)
-        pace = part * self.warm_pace * self.size[b]
-        self.allowance[b] = min(COLD_BURST, self.allowance[b] + pace * (now - self.allowed_at[b]))
-        self.allowed_at[b] = now
+        """Rule 4: this node's part of what a cold backend may be sent, and of what all may have saved up."""
+        terms, age, warm = self.terms, max(0, now - self.started[b]), self.warm_pace * self.size[b]
+        capacity = terms.cold_from + (1 - terms.cold_from) * age / max(1, terms.cold_for)
+        part = max(COLD_MARGIN, capacity) * min(1.0, (bears := terms.tip_multiple * capacity))
+        saved = self.allowance[b] + part * warm * (now - self.allowed_at[b])
+        more = (bears - part) * warm * COLD_SPAN + COLD_MORE * len(self.ranked) / len(self.turn) / terms.nodes
+        saved = min(saved, COLD_BURST if 1 + more >= COLD_BURST else more + (saved - more) % 1)
+        self.allowance[b], self.allowed_at[b] = saved, now
         return self.allowance[b] >= 1
 
     def _send(self, invocation, b, now):
--- a/pierglade/net/state/listing.py
+++ b/pierglade/net/state/listing.py
@@ -5,6 +5,7 @@
 
 from pierglade import records as r
 from pierglade.change.shares import fits_in_place
+from pierglade.learned.takeover import take_over
 from pierglade.net.state.events import (
     ASK, Backend, MOVE, OPEN_DOOR, OWED, RELIST)
 
@@ -55,14 +56,14 @@
         self.index, self.no_word = index, None
         self._is_ready()
 
-    def _no_word(self, why, soon=False):
-        """`soon`: it fell silent, and what it misses counts as told before long."""
+    def _no_word(self, why, waited=0):
+        """`waited`: since its last word, or since the call for it began."""
         self._count("no word")
         if why != self.no_word:
             self.no_word = why
             self._note("discovery lost", why=why)
         if self.terms.asks_list:
-            self.node.unlisted(self.now, soon)
+            self.node.unlisted(self.now, waited)
 
     def _configured(self, discovery, told, terms=None, difference=None):
         """A new configuration: discovery is followed where it is now; the list is kept until it is heard.
@@ -81,8 +82,7 @@
             terms.tenants.follow(self.terms.tenants)
             self.older.append(self.node)
             self._serve_under(terms, self.now)
-            self.node.listed(self.now, [backend.entry for backend in self.backends.values()
-                                         if backend.state == r.READY], True)
+            take_over(self.node, self.older[-1], self.now)
             if self.older[-1].terms.asks_list:
                 self._do(ASK)       # Who waits for the word of the earlier settings may wait for long.
             self._note("settings loaded", owed=len(self.clients[OWED]))
