The bound on calls for a lost list holds where the word that was missed counts

Cause: with the 4.4 s everywhere, forty nodes whose discovery serves three calls a second made 13 calls in each (3 before), and would never get to the end of its queue (tests.test_fleet). The term is that of the sockets, whose host says how long ago the last word was; on the simulator's wire, where discovery is shared and small, calls are spread as before.

Measured: tests.test_fleet unchanged and passed; node_asks: the last call 0.4 s later, 1.5 s after its loss; 28 kinds of trouble within the term.

--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -83,7 +83,7 @@
 REST_EACH, REST_IN = 60000, 10000   # 6 s, 1 s; rests begin at multiples of the one, within the other
 REST_FOR, REST_AGAIN = 50000, 110000    # 5 s, 11 s; a rest, and from its start to another
 REST_PART = 0.2         # of the limit; cores are then less than half in use
-ASK_GAP, ASK_WITHIN, ASK_SOON = 20000, 44000, 6000  # 2, 4.4, 0.6 s; a change counts as told after 6 s
+ASK_GAP, ASK_GAP_MOST, ASK_SOON, ASK_WITHIN = 20000, 160000, 6000, 44000    # 2 to 16, 0.6 s; told in 6: 4.4 s
 COST_LEAST, COST_MOST = 0.25, 4.0   # times the mean; hints are not to be trusted beyond
 SOME = 1e-5             # 0.1 a second; a node that nothing has come to yet is asked for that much
 SEEN_LEAST = 5000       # 0.5 s; what came in less is luck
@@ -254,11 +254,11 @@
         self.total = sum(map(self.size.__getitem__, self.ranked))
         self._draw_turn(now)
 
-    def unlisted(self, now, waited=0):
-        """The list could not be had, or is followed no more; `waited`: since its last word or its call."""
+    def unlisted(self, now, waited=-NEVER):
+        """The list could not be had, or is followed no more; `waited`: since its last word, if that counts."""
         # All nodes lose it at once, and at once they would ask: by chance apart, and as seldom as may be.
         gap = max(ASK_SOON, min(self.ask_gap, (ASK_WITHIN - waited) * 2 // 3))
-        self.ask_at, self.ask_gap = now + gap // 2 + self.pick(gap), min(ASK_WITHIN, self.ask_gap * 2)
+        self.ask_at, self.ask_gap = now + gap // 2 + self.pick(gap), min(ASK_GAP_MOST, self.ask_gap * 2)
         self._due(self.ask_at)
 
     def _draw_turn(self, now):
