--- a/pierglade/__main__.py
+++ b/pierglade/__main__.py
@@ -120,7 +120,7 @@
 
 
 def steps_again(first):
-    """The same in steps, between which a node may go on; returns the Place. The list that is known is not read."""
+    """The same in steps, between which a node may go on; returns the Place. The known list is not read."""
     place = yield from _place_steps({**os.environ, "BALANCER_DISCOVERY": ""}, known=False)
     missing = short_of(place.told, first.told)
     if missing:
--- a/pierglade/choice.py
+++ b/pierglade/choice.py
@@ -116,10 +116,10 @@
 COUNTED = (None, SLOW)  # trips on the others come to nothing and must not use up the limit
 
 
-# Of each backend an array, and what a new one begins with. Its process's past: losses, the forecast's samples.
+# Of each backend an array, and what a new one begins with. Its process's past: losses, forecast's samples.
 HISTORY = dict(errors=0.0, relapses=0, quick=1.0, work=0, samples=(), sums=(0, 0, 0, 0), window=WINDOW_MEDIUM,
                pauses=(), mean_pause=FIRST_PAUSE, work_due=None, forecast=None)
-# Who and where it is, its size; when it started and left; what may go to it while cold; level; trouble, trials;
+# Who and where it is, its size; when it started, left; what may go to it while cold; level; trouble, trials;
 # what reports say (settled in a second for all nodes, cores in use, usually settled by all cores).
 FIRST = HISTORY | dict(
     names=None, rank=None, state=GONE, zone=None, cell=None, size=0.0, owed=0.0, started=0, left_at=0,
@@ -255,7 +255,7 @@
         self._draw_turn(now)
 
     def unlisted(self, now, waited=-NEVER):
-        """The list could not be had, or is followed no more; `waited`: since its last word, if that counts."""
+        """The list could not be had, or is followed no more; `waited`: since its last word."""
         # All nodes lose it at once, and at once they would ask: by chance apart, and as seldom as may be.
         gap = max(ASK_SOON, min(self.ask_gap, (ASK_WITHIN - waited) * 2 // 3))
         self.ask_at, self.ask_gap = now + gap // 2 + self.pick(gap), min(ASK_GAP_MOST, self.ask_gap * 2)
--- a/pierglade/cli/serve.py
+++ b/pierglade/cli/serve.py
@@ -44,7 +44,7 @@
         from pierglade.__main__ import place_at
         return place_at(path, {}, known=False)
     from gevent import get_hub
-    # The reader of TOML can't be stopped between two rows: it has a thread, that lets the node in now and then.
+    # The reader of TOML can't be stopped between two rows: its thread lets the node in now and then.
     usual = sys.getswitchinterval()
     sys.setswitchinterval(LETS_IN)
     try:
--- a/pierglade/config/logged.py
+++ b/pierglade/config/logged.py
@@ -22,8 +22,8 @@
     "alone": ("info", "the process that served here before has ended", ""),
     "configuration read": ("info", "SIGHUP: the file was taken", "discovery, moved, needs_restart"),
     "configuration refused": ("error", "SIGHUP: the file can't be used; all stays as it was", "why"),
-    "settings loaded": ("info", "new settings hold for what comes from now on; with `shares`, only those of so "
-                        "many tenants were changed", "owed, shares"),
+    "settings loaded": ("info", "new settings hold for what comes from now on; with `shares`, only those of "
+                        "so many tenants were changed", "owed, shares"),
     "earlier settings left": ("info", "nothing of the settings before is owed any more", ""),
     "list": ("info", "what has changed on the list", "index, whole, changed, more"),
     "list refused": ("warning", "a message of discovery can't be used; the whole list is asked for", "why"),
--- a/pierglade/learned/takeover.py
+++ b/pierglade/learned/takeover.py
@@ -5,12 +5,12 @@
 
 | what | is kept | not where |
 | --- | --- | --- |
-| backends, where they stand, levels, troubles, trials to come, the forecast | always | of trips out on trial |
+| backends, their places, levels, troubles, trials to come, the forecast | always | of trips out on trial |
 | what backends report and usually do | same way and fields of reports | else it may mean another thing |
 | an offering's latency, its spread, its hints, what was asked and settled | its name is there | - |
 | the time that clients' first tries bring | and its hard limit is the same | it follows from the limit |
-| place on the ring, part of the mean, limit on trips out | same number and count of nodes | they are shares of all |
-| the limit on trips out | and both have members' shares, or neither; an offering is left | it begins otherwise |
+| place on the ring, part of the mean, limit on trips out | same number and count of nodes | shares of all |
+| the limit on trips out | and both have shares, or neither; an offering is left | it begins otherwise |
 | pace, view and room | both learn their part | else the settings say it |
 | what a cold backend may be sent | always, by the new span; the earlier one begins at nothing | - |
 """
--- a/pierglade/tenants.py
+++ b/pierglade/tenants.py
@@ -1,7 +1,7 @@
 """The tenants that share the fleet: what each may ask, and what is known of those with traffic.
 
-No I/O, no clock: `now` is told, in whole tenths of a millisecond. Tens of thousands of tenants cost a name and a
-share each; a Tenant, with its rate and pace, exists only while requests of it come. Start with `Tenants`.
+No I/O, no clock: `now` is told, in whole tenths of a millisecond. Tens of thousands of tenants cost a name and
+a share each; a Tenant, with its rate and pace, exists only while requests of it come. Start with `Tenants`.
 """
 
 from bisect import bisect_left, insort
@@ -10,7 +10,7 @@
 from pierglade.records import Tenant
 
 # Constants. Times are tenths of a millisecond.
-LATELY = 150000         # 15 s; a tenant's rate and pace have faded 5 s after its last answer, out 3 s at the most
+LATELY = 150000         # 15 s; a tenant's rate and pace have faded 5 s after its last answer
 
 
 class Stale(ValueError):
@@ -38,7 +38,7 @@
     def __init__(self, shares=(), version=0):
         self.shares, self.version = dict(shares), version
         self.total = sum(self.shares.values())
-        # Those with traffic, in two generations: one that was not asked for through the whole of one is dropped.
+        # Those with traffic, in two generations: who did not ask through the whole of one is dropped.
         self.young, self.old, self.turns_at = {}, {}, None
         self.order = None       # names by place, for callers that count
 
