--- a/pierglade/change/reading.py
+++ b/pierglade/change/reading.py
@@ -1,7 +1,7 @@
 """The JSON of a configuration, read in steps.
 
-One call of a parser on tens of thousands of tenants takes some 35 ms, in which a node answers nothing. Where a
-cut may be made is guessed, and the parser itself tells whether it was right: no JSON is read by code of ours.
+One call of a parser on tens of thousands of tenants takes some 35 ms, in which a node answers nothing. Where
+a cut may be made is guessed, and the parser itself tells whether it was right: no JSON is read by code of ours.
 """
 
 import orjson
@@ -19,8 +19,8 @@
     """Yields after each step; returns the document with `settings.customers` empty, and what stood there as
     shares by name, in requests a second.
 
-    `known`: whether the list that is known is read; else it is left empty. Raises ValueError where the text is
-    no JSON, and Wrong where a customer can't be used.
+    `known`: whether the list that is known is read; else it is left empty. Raises ValueError where the text
+    is no JSON, and Wrong where a customer can't be used.
     """
     shares = {}
     if len(text) <= 2 * PIECE:
--- a/pierglade/change/shares.py
+++ b/pierglade/change/shares.py
@@ -30,8 +30,8 @@
 def fits_in_place(before, after):
     """Whether a node can go on with other shares.
 
-    With the first share, or the last one gone, other figures say what comes to it, and how many attempts may be
-    out begins anew.
+    With the first share, or the last one gone, other figures say what comes to it, and how many attempts may
+    be out begins anew.
     """
     return (before.total > 0) == (sum(after.values()) > 0)
 
