--- a/pierglade/change/reading.py
+++ b/pierglade/change/reading.py
@@ -1,7 +1,8 @@
 """The JSON of a configuration, read in steps.
 
-One call of a parser on tens of thousands of tenants takes some 35 ms, in which a node answers nothing. Where
-a cut may be made is guessed, and the parser itself tells whether it was right: no JSON is read by code of ours.
+One call of a parser on tens of thousands of tenants takes some 35 ms, in which a node answers nothing.
+Where a cut may be made is guessed, and the parser itself tells whether it was right: no JSON is read by
+code of ours.
 """
 
 import orjson
--- a/pierglade/tenants.py
+++ b/pierglade/tenants.py
@@ -1,7 +1,8 @@
 """The tenants that share the fleet: what each may ask, and what is known of those with traffic.
 
-No I/O, no clock: `now` is told, in whole tenths of a millisecond. Tens of thousands of tenants cost a name
-and a share each; a Tenant, with its rate and pace, exists only while requests of it come. Start with `Tenants`.
+No I/O, no clock: `now` is told, in whole tenths of a millisecond. Tens of thousands of tenants cost a
+name and a share each; a Tenant, with its rate and pace, exists only while requests of it come. Start with
+`Tenants`.
 """
 
 from bisect import bisect_left, insort
