--- a/pierglade/scale/figures.py
+++ b/pierglade/scale/figures.py
@@ -190,6 +190,7 @@
 def needs(plan, scenes, told):
     """Need against budget: [(what, need, budget, unit)]; daily figures at the pace of a day."""
     budget, day = plan.budget, plan.day
+    calm_p99 = next((scene["p99_ms"]["through"] for scene in scenes if scene["what"] == "calm"), None)
     tells = TOLD_TWICE * day.restarts / DAY_S
     rows = []
 
@@ -226,6 +227,8 @@
         if scene["what"] == "settings" and scene["worst_ms"]["through"] is not None:
             add("worst answer as one tenant's share changes, over what a backend takes",
                 scene["worst_ms"]["through"] - plan.backends.answer_ms, budget.worst_ms, "ms")
+            add("99 in 100 as one tenant's share changes, over calm", _minus(
+                scene["p99_ms"]["through"], calm_p99), budget.added_ms, "ms")
     add("ready after a restart", told["real node: ready after a restart, s"], budget.ready_s, "s")
     return rows
 
--- a/pierglade/scale/plan.py
+++ b/pierglade/scale/plan.py
@@ -141,7 +141,7 @@
     def processes(self):
         """How many a run has: ours, discovery, the backends, hollow ones, real ones, senders and an empty
         node."""
-        return 4 + len(self.groups()) + 2 * self.nodes.loaded + self.nodes.idle + 1
+        return 5 + len(self.groups()) + 2 * self.nodes.loaded + self.nodes.idle
 
     def memory_mb(self):
         """What a run will take, at its most."""
