--- a/experiments/capacity/slopes.py
+++ b/experiments/capacity/slopes.py
@@ -2,6 +2,7 @@
 
     .venv/bin/python experiments/capacity/slopes.py run OUT.json [PLAYS]   all rows, a process each
     .venv/bin/python experiments/capacity/slopes.py again OUT.json         plays anew what failed in it
+    .venv/bin/python experiments/capacity/slopes.py pairs OUT.json       a request, all tenants against few
     .venv/bin/python experiments/capacity/slopes.py show OUT.json [OTHER.json]   fits and figures as text
 
 Times are CPU time of the process that does the work, so that a busy machine shifts them little; the two
@@ -408,6 +409,19 @@
     pathlib.Path(out).write_text(json.dumps(result, indent=1) + "\n")
 
 
+def pairs(out, plays):
+    """CPU of a request with all tenants over that with few, one right after the other; sorted."""
+    result = {"load": os.getloadavg()[0], "plays": plays}
+    for backends in (LEAST["backends"], BACKENDS):
+        ratios = []
+        for _ in range(plays):
+            few, all_ = (child("row", tenants, backends, NODES) for tenants in (LEAST["tenants"], TENANTS))
+            ratios.append(all_["request_us"] / few["request_us"])
+        result[f"{backends} backends"] = [round(ratio, 2) for ratio in sorted(ratios)]
+    pathlib.Path(out).write_text(json.dumps(result) + "\n")
+    print(json.dumps(result))
+
+
 def child(kind, *figures):
     got = subprocess.run([sys.executable, __file__, kind, *map(str, figures)], cwd=ROOT, text=True,
                          capture_output=True)
@@ -467,6 +481,8 @@
         print(json.dumps(play_process(*figures, bool(told))))
     elif kind == "run":
         run(what[0], int(what[1]) if len(what) > 1 else 3)
+    elif kind == "pairs":
+        pairs(what[0], int(what[1]) if len(what) > 1 else 7)
     elif kind == "again":
         again(what[0])
     elif kind == "show":
