--- a/experiments/capacity/slopes.py
+++ b/experiments/capacity/slopes.py
@@ -1,6 +1,6 @@
 """What one node's parts cost as tenants, backends and nodes grow to the target; the base of docs/CAPACITY.md.
 
-    .venv/bin/python experiments/capacity/slopes.py run OUT.json [PLAYS]   all rows, a process each
+    .venv/bin/python experiments/capacity/slopes.py run OUT.json [PLAYS [AXIS ...]]   a process a row
     .venv/bin/python experiments/capacity/slopes.py again OUT.json         plays anew what failed in it
     .venv/bin/python experiments/capacity/slopes.py pairs OUT.json       a request, all tenants against few
     .venv/bin/python experiments/capacity/slopes.py show OUT.json [OTHER.json]   fits and figures as text
@@ -87,6 +87,12 @@
     return result, (time.process_time() - begin) * 1e3
 
 
+def timed(spans, call, *what):
+    result, ms = cpu_ms(call, *what)
+    spans.append(ms)
+    return result
+
+
 def walked(steps, spans):
     """What a work in steps returns; the CPU ms of each step are added to `spans`."""
     while True:
@@ -157,6 +163,15 @@
     from pierglade.__main__ import GARBAGE, place_again, place_from
     from pierglade.net.reducer import Reducer
     from pierglade.net.state import events as ev
+    try:
+        from pierglade.__main__ import steps_again
+        from pierglade.change import shares
+    except ImportError:
+        shares = None       # before changes by difference
+    try:
+        from pierglade.change.reading import parsed
+    except ImportError:
+        parsed = None       # before lists were read in steps
     found = {}
     document, whole = document_of(tenants, nodes), endpoints_of(backends)
     snapshot = {"index": 1, "snapshot": True, "endpoints": whole}
@@ -183,6 +198,13 @@
             now += 10
             spans.append(cpu_ms(lambda: reducer.apply(now, ev.HEARD, orjson.loads(told)))[1])
         found["state_change_us"] = sum(spans) * 1e3 / CHANGES
+        # The whole list heard again as it is, as from a discovery that came back without its history.
+        steps = []
+        now += 10000
+        again_told = orjson.dumps({**snapshot, "index": now})
+        heard = walked(parsed(again_told), steps) if parsed else timed(steps, orjson.loads, again_told)
+        timed(steps, reducer.apply, now, ev.HEARD, heard)
+        found["list_again_ms"], found["list_again_step_ms"] = sum(steps), max(steps)
         # A zone, one in ten backends, is gone and comes back, each in one message.
         zone = [entry for entry in whole if entry["zone"] == "z3"]
         for name, other in (("zone_gone_ms", {"status": "DELETED"}),
@@ -211,11 +233,6 @@
                                 told)[1])
             return sum(steps), max(steps)
 
-        try:
-            from pierglade.__main__ import steps_again
-            from pierglade.change import shares
-        except ImportError:
-            shares = None       # before changes by difference
         for name, change in (
                 ("reload", lambda settings: settings["customers"][0].update(quotaPerS=now / 10**9)),
                 ("reload_other", lambda settings: settings["offerings"][0].update(credit=now / 10**9))):
@@ -375,7 +392,8 @@
 
 # All rows, and what they say.
 
-def run(out, plays):
+def run(out, plays, *axes):
+    """`axes`: only rows of these, and no whole processes."""
     commit = subprocess.run(["git", "describe", "--always", "--dirty", "--exclude=*"], cwd=ROOT, text=True,
                             capture_output=True).stdout.strip()
     result = {"commit": commit, "began": time.strftime("%H:%M:%S"), "load": [os.getloadavg()[0]],
@@ -384,8 +402,10 @@
               ("backends", LEAST["tenants"], BACKENDS), ("full", TENANTS, BACKENDS))
     for play_number in range(plays):
         for axis, row in rows():
+            if axes and axis not in axes:
+                continue
             result["rows"].append({"axis": axis, "play": play_number, **row, **child("row", *row.values())})
-        for told in (False, True):
+        for told in () if axes else (False, True):
             for shape, tenants, backends in shapes:
                 row = {"shape": shape, "told": told, "tenants": tenants, "backends": backends}
                 result["processes"].append({**row, "play": play_number,
@@ -448,6 +468,8 @@
         names = [key for key in good[0] if key not in ("axis", "play", *LEAST)]
         for name in names:
             for axis in LEAST:
+                if not any(row["axis"] == axis for row in good):
+                    continue
                 xs, ys = zip(*((row[axis], row[name]) for row in good if row["axis"] == axis))
                 one = fit(list(zip(xs, ys)))
                 means = [sum(y for at, y in zip(xs, ys) if at == x) / xs.count(x) for x in sorted(set(xs))]
@@ -480,7 +502,7 @@
         *figures, told = map(int, what)
         print(json.dumps(play_process(*figures, bool(told))))
     elif kind == "run":
-        run(what[0], int(what[1]) if len(what) > 1 else 3)
+        run(what[0], int(what[1]) if len(what) > 1 else 3, *what[2:])
     elif kind == "pairs":
         pairs(what[0], int(what[1]) if len(what) > 1 else 7)
     elif kind == "again":
