--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -131,10 +131,11 @@
 from tests.test_learned import snapshot
 folder, number = files.Folder(sys.argv[1], "n1"), 0
 folder.lock_it()
-print("on", flush=True)
 while True:
     number += 1
     folder.write(form.encode(snapshot(written=number, node="n" * (number % 4000))))
+    if number == 1:
+        print("on", flush=True)     # killed before, it would have left nothing that could be read
 """
 
 
