--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -214,6 +214,17 @@
             one.look()
 
 
+    def test_what_a_process_used_and_waited_for(self):
+        before = guard.cpu_s(os.getpid())
+        until = time.process_time() + 0.05
+        while time.process_time() < until:
+            pass
+        used, waited = (now - then for now, then in zip(guard.cpu_s(os.getpid()), before))
+        self.assertGreater(used, 0.02)
+        self.assertGreaterEqual(waited, 0.0)
+        self.assertEqual(figures._share(1.0, 3.0), 0.25)
+
+
 class Commands(TraceTest):
     """The command as a process: one line, the right code, nothing left."""
 
