What is refused at the door stays refused as settings change

Cause, by reading: each change made a new bar that refuses nothing, and takes 0.3 s to come back to where a tenth is taken. It is kept where the offerings' credits are the same, as its classes go by them.

The new test fails without it.

--- a/pierglade/net/state/listing.py
+++ b/pierglade/net/state/listing.py
@@ -81,8 +81,11 @@
             self.settings = told.get("settings")
             terms.tenants.follow(self.terms.tenants)
             self.older.append(self.node)
+            press = self.press
             self._serve_under(terms, self.now)
             take_over(self.node, self.older[-1], self.now)
+            if press.classes == self.press.classes:
+                self.press = press      # Or all that is refused at the door would be let in at once.
             if self.older[-1].terms.asks_list:
                 self._do(ASK)       # Who waits for the word of the earlier settings may wait for long.
             self._note("settings loaded", owed=len(self.clients[OWED]))
--- a/tests/test_learned_over_settings.py
+++ b/tests/test_learned_over_settings.py
@@ -430,6 +430,13 @@
         self.assertEqual(sum(map(len, node.samples)), 8)
         self.assertEqual(self.reducer.older, [])
 
+    def test_what_is_refused_at_the_door_stays_refused(self):
+        self.reducer.press.bar = 0.5
+        self.configure(most_trips=1)
+        self.assertEqual(self.reducer.press.bar, 0.5)
+        self.configure(offerings=[replace(row, credit=1.0) for row in terms().offerings])
+        self.assertEqual(self.reducer.press.bar, 0.0)       # Its classes are others.
+
     def test_settings_that_shrink_while_requests_are_owed(self):
         """Fewer attempts, a shorter limit: what was taken before has both as it was taken."""
         for n in range(4):
