--- a/experiments/capacity/derive.py
+++ b/experiments/capacity/derive.py
@@ -13,7 +13,7 @@
 FORCE, BYTES, CORE, CONTROL, ZONES, REGIONS = 13, 9000, 0.022, 3, 10, 3
 IN_VIEW_S, FEWEST = 0.25, 2     # as pierglade/choice.py has them
 PACKET = 40             # bytes of IP and TCP heads; twice for what is answered by a bare acknowledgement
-LINE_MOST = 1 << 20     # bytes, as pierglade/net/discovery.py has it
+LINE_MOST = 1 << 22     # bytes, as pierglade/net/discovery.py has it; 1 << 20 at 6b0dd7b
 
 
 def main(path):
