--- a/experiments/capacity/slopes.py
+++ b/experiments/capacity/slopes.py
@@ -247,8 +247,8 @@
 class Agent:
     """Answers as discovery does: the whole list, then a watch of heartbeats."""
 
-    def __init__(self, backends):
-        self.body = orjson.dumps({"index": 1, "snapshot": True, "endpoints": endpoints_of(backends)})
+    def __init__(self, backends, *address):
+        self.body = orjson.dumps({"index": 1, "snapshot": True, "endpoints": endpoints_of(backends, *address)})
         self.server = socket.create_server(("127.0.0.1", 0))
         self.address = "%s:%d" % self.server.getsockname()
         threading.Thread(target=self.accept, daemon=True).start()
