--- a/experiments/capacity/beside.py
+++ b/experiments/capacity/beside.py
@@ -1,8 +1,8 @@
-"""Answers beside changes: one real node with all of the target's list and tenants, 236 requests/s, on sockets.
+"""Answers beside changes: one real node with all of the target's list and tenants, on sockets.
 
     .venv/bin/python experiments/capacity/beside.py OUT.json [PLAYS]
 
-One tenant's share changes every 2 s; a quarter as many requests go straight to the backend in the same play. No
+236 requests/s through it, a quarter as many straight to the backend; one tenant's share changes every 2 s. No
 crowd: a node, a backend of 20 ms behind all 6,800 names, the stand-in discovery of slopes.py; 14 s a play.
 """
 
@@ -51,7 +51,8 @@
     async def ask(self, number):
         began = time.perf_counter()
         try:
-            reader, writer = self.free.pop() if self.free else await asyncio.open_connection(self.host, self.port)
+            connection = self.free.pop() if self.free else await asyncio.open_connection(self.host, self.port)
+            reader, writer = connection
             writer.write(b"GET /look/x HTTP/1.1\r\nHost: h\r\nX-Trace-Id: t%d\r\nX-Customer: tenant-%d\r\n"
                          b"X-Expires-In-Ms: %d\r\n\r\n" % (number, number * 37 % slopes.TENANTS, LIMIT_MS))
             head = (await reader.readuntil(b"\r\n\r\n")).lower()
@@ -62,7 +63,7 @@
         if b"connection: close" in head:
             writer.close()
         else:
-            self.free.append((reader, writer))
+            self.free.append(connection)
 
     def told(self, within):
         took = sorted(ms for began, ms, _ in self.rows if within(began))
@@ -130,9 +131,8 @@
 
 
 def main(out, plays=3):
-    commit = subprocess.run(["git", "describe", "--always", "--dirty", "--exclude=*"], cwd=slopes.ROOT, text=True,
-                            capture_output=True).stdout.strip()
-    result = {"commit": commit, "began": time.strftime("%H:%M:%S"), "plays": [play() for _ in range(int(plays))]}
+    result = {"commit": slopes.commit(), "began": time.strftime("%H:%M:%S"),
+              "plays": [play() for _ in range(int(plays))]}
     pathlib.Path(out).write_text(json.dumps(result, indent=1) + "\n")
     for one in result["plays"]:
         print(json.dumps(one))
--- a/experiments/capacity/slopes.py
+++ b/experiments/capacity/slopes.py
@@ -248,7 +248,8 @@
     """Answers as discovery does: the whole list, then a watch of heartbeats."""
 
     def __init__(self, backends, *address):
-        self.body = orjson.dumps({"index": 1, "snapshot": True, "endpoints": endpoints_of(backends, *address)})
+        endpoints = endpoints_of(backends, *address)
+        self.body = orjson.dumps({"index": 1, "snapshot": True, "endpoints": endpoints})
         self.server = socket.create_server(("127.0.0.1", 0))
         self.address = "%s:%d" % self.server.getsockname()
         threading.Thread(target=self.accept, daemon=True).start()
@@ -392,11 +393,14 @@
 
 # All rows, and what they say.
 
+def commit():
+    return subprocess.run(["git", "describe", "--always", "--dirty", "--exclude=*"], cwd=ROOT, text=True,
+                          capture_output=True).stdout.strip()
+
+
 def run(out, plays, *axes):
     """`axes`: only rows of these, and no whole processes."""
-    commit = subprocess.run(["git", "describe", "--always", "--dirty", "--exclude=*"], cwd=ROOT, text=True,
-                            capture_output=True).stdout.strip()
-    result = {"commit": commit, "began": time.strftime("%H:%M:%S"), "load": [os.getloadavg()[0]],
+    result = {"commit": commit(), "began": time.strftime("%H:%M:%S"), "load": [os.getloadavg()[0]],
               "plays": plays, "rows": [], "processes": []}
     shapes = (("empty", 1, 1), ("tenants", TENANTS, LEAST["backends"]),
               ("backends", LEAST["tenants"], BACKENDS), ("full", TENANTS, BACKENDS))
--- a/experiments/capacity/views.py
+++ b/experiments/capacity/views.py
@@ -9,7 +9,6 @@
 import json
 import os
 import pathlib
-import subprocess
 import sys
 import time
 from collections import Counter
@@ -18,7 +17,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 from slopes import (  # noqa: E402 - beside this file
-    BACKENDS, GAP, NODES, NOW, ROOT, TOOK, endpoints_of, settings_of)
+    BACKENDS, GAP, NODES, NOW, TOOK, commit, endpoints_of, settings_of)
 
 from pierglade import records as r, terms as t  # noqa: E402
 from pierglade.choice import Node  # noqa: E402
@@ -86,9 +85,7 @@
         sizes.append(len(views[0]))
         moved[0] += len(views[1] - views[0])
         moved[1] += len(views[2] - views[1])
-    commit = subprocess.run(["git", "describe", "--always", "--dirty", "--exclude=*"], cwd=ROOT, text=True,
-                            capture_output=True).stdout.strip()
-    result = {"commit": commit, "nodes": nodes, "cpu_s": round(time.process_time() - began, 1),
+    result = {"commit": commit(), "nodes": nodes, "cpu_s": round(time.process_time() - began, 1),
               "in_view_of_a_node": [min(sizes), max(sizes)],
               "nodes_that_see_a_backend": spread(seen[0], names),
               "the_same_without_a_zone": spread(seen[1], kept),
