--- a/pierglade/scale/plan.py
+++ b/pierglade/scale/plan.py
@@ -24,7 +24,7 @@
 TAIL_ELSE_S = 3.0
 # What a process takes, MB: measured at 6,800 backends and 47,000 tenants, rounded up; only to refuse by.
 BASE_MB, BACKEND_KB, TENANT_KB = 40.0, 8.0, 2.0
-WATCH_KB, ENTRY_KB = 60.0, 0.2      # a watch; an entry of the list on its way, at either side
+WATCH_KB, ENTRY_KB = 60.0, 0.2      # a watch; an entry of the list on its way
 
 
 class Nodes(Struct):
@@ -147,7 +147,8 @@
         """What a run will take, at its most."""
         whole = self.nodes.loaded + self.nodes.idle + self.nodes.full
         holds = (self.backends.count * BACKEND_KB + self.tenants.count * TENANT_KB) / 1024
-        watch = (WATCH_KB + 2 * self.backends.count * ENTRY_KB) / 1024
+        # Where all get the whole list at once: read in pieces, put together, parsed.
+        watch = (WATCH_KB + 4 * self.backends.count * ENTRY_KB) / 1024
         return self.processes() * BASE_MB + whole * holds + self.nodes.count * watch
 
     def most_mb(self):
