--- a/pierglade/scale/guard.py
+++ b/pierglade/scale/guard.py
@@ -20,8 +20,11 @@
     """(s of processor time, s that it waited for a processor) of all its threads that live."""
     used = waited = 0
     for thread in os.listdir(f"/proc/{pid}/task"):
-        with open(f"/proc/{pid}/task/{thread}/schedstat") as file:
-            words = file.read().split()
+        try:
+            with open(f"/proc/{pid}/task/{thread}/schedstat") as file:
+                words = file.read().split()
+        except (FileNotFoundError, ProcessLookupError):
+            continue        # it has ended since the names were read
         used, waited = used + int(words[0]), waited + int(words[1])
     return used / 1e9, waited / 1e9
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -5,6 +5,8 @@
 import pathlib
 import signal
 import socket
+import subprocess
+import sys
 import tempfile
 import time
 import types
@@ -213,17 +215,25 @@
         with self.assertRaises(guard.Over):
             one.look()
 
-
     def test_what_a_process_used_and_waited_for(self):
-        before = guard.cpu_s(os.getpid())
-        until = time.process_time() + 0.05
-        while time.process_time() < until:
-            pass
-        used, waited = (now - then for now, then in zip(guard.cpu_s(os.getpid()), before))
+        """In a process of its own: threads of other tests end meanwhile, and what they used goes with them."""
+        script = ("import os, time; from pierglade.scale import guard; before = guard.cpu_s(os.getpid())\n"
+                  "until = time.process_time() + 0.05\n"
+                  "while time.process_time() < until: pass\n"
+                  "print(*(now - then for now, then in zip(guard.cpu_s(os.getpid()), before)))")
+        told = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, cwd=ROOT,
+                              check=True)
+        used, waited = map(float, told.stdout.split())
         self.assertGreater(used, 0.02)
         self.assertGreaterEqual(waited, 0.0)
         self.assertEqual(figures._share(1.0, 3.0), 0.25)
 
+    def test_a_thread_that_ends_while_it_is_looked_at(self):
+        own = os.listdir(f"/proc/{os.getpid()}/task")
+        with mock.patch.object(guard.os, "listdir", lambda path: [*own, "999999999"]):
+            used, _ = guard.cpu_s(os.getpid())
+        self.assertGreater(used, 0)
+
 
 class Commands(TraceTest):
     """The command as a process: one line, the right code, nothing left."""
