--- a/experiments/services/carry.py
+++ b/experiments/services/carry.py
@@ -109,7 +109,8 @@
         "in time": summary["per_s"]["in_time"] / asked, "p99": summary["p99_ms"],
         "met": sum(b.met for b in backends) / sum(b.offered for b in backends),
         "forecast": sum(b.forecast for b in backends) / max(1, sum(b.seen for b in backends)),
-        "pauses": sum(b.pauses for b in backends), "trips": sum(b.offered for b in backends) / asked / seconds * 2,
+        "pauses": sum(b.pauses for b in backends),
+        "trips": sum(b.offered for b in backends) / asked / seconds * 2,
         "out": summary["mean_out"] / BACKENDS, "most": max(b.most for b in backends),
         "view": sum(view) / max(1, len(view)), "broken": summary["broken"]}
 
@@ -124,9 +125,11 @@
 def main(nodes, seeds, seconds, pause_ms, by_work, jobs):
     counts = list(map(int, nodes.split(",")))
     rows = [(n, policy) for n, policy in product(counts, POLICIES) if policy != "seer" or n == counts[0]]
-    work = [(n, policy, seed, seconds, pause_ms, by_work) for n, policy in rows for seed in range(1, seeds + 1)]
+    work = [(n, policy, seed, seconds, pause_ms, by_work)
+            for n, policy in rows for seed in range(1, seeds + 1)]
     heads = ("nodes", "a node, requests/s", "policy", "in time", "p99 ms", "met a pause",
-             "forecast, of pauses", "trips a request", "trips at a backend, mean and most", "backends in view")
+             "forecast, of pauses", "trips a request", "trips at a backend, mean and most",
+              "backends in view")
     print("| " + " | ".join(heads) + " |\n" + "| --- " * len(heads) + "|")
     with ProcessPoolExecutor(jobs) as pool:
         plays = pool.map(one, work)
--- a/experiments/services/groups.py
+++ b/experiments/services/groups.py
@@ -102,7 +102,8 @@
     heads = ("nodes a service", "which", "zones, least", "services a node: mean, most",
              "backends a node", "requests/s a service and node: mean, least",
              "load of a node over the mean: 99 in 100, most",
-             "nodes with nothing", "a node lost: places lost, moved", "a zone lost: places lost, moved, of all")
+             "nodes with nothing", "a node lost: places lost, moved",
+              "a zone lost: places lost, moved, of all")
     print("| " + " | ".join(heads) + " |\n" + "| --- " * len(heads) + "|")
     for size, how in ((4, HASHED), (10, HASHED), (34, HASHED), (34, BY_LOAD), (34, DEALT), (68, HASHED),
                       (68, BY_LOAD), (720, HASHED)):
