--- /dev/null
+++ b/review/rig/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers that the cases below `review/` share."""
