Review case: with no ready backend in the list, good answers are thrown away

Tried: a fleet of one backend that is listed as draining while four requests are at it, and finishes them with 200 in time; its successor is listed a second later. Done: the case with its script and claim; the stand-in discovery tells changes.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,8 @@
-"""A request that can't be read is rewritten into another one, which a backend runs.
+"""While no listed backend is ready, the answers to all that is in flight are thrown away.
 
-One node, two backends, the three offerings of kingston-auth. The usual clients send plain and
-chunked requests. The disruption: a bad client announces a chunked body, sends something else in its
-place, and names a protocol to upgrade to.
+One node, a fleet of one backend, two offerings of kingston-auth. The disruption: the backend is
+listed as draining while it works on four requests, and its successor is listed a second later. The
+backend finishes what it has, in time.
 Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 """
 
@@ -17,104 +17,143 @@
 from rig.play import BROKEN, HELD, play
 from rig.settings import node_config, offering
 
-OWED_WITHIN_S = 3.0  # a bad client is owed an error or a close within this time
-ROUNDS = 5
+SLACK_S = 0.05  # on sockets each time limit is 50 ms longer
+LARGE_BYTES = 200000  # over 64 KiB: only the first bytes are timed
+PIECE_BYTES, PIECE_INTERVAL_S = 20000, 0.01
+WORK_S = 0.08  # from the last byte of a request to the first byte of its answer
+TOLD_AFTER_S = 0.04  # from sending the requests to the change of the list
+SUCCESSOR_AFTER_S = 1.0  # a new backend is listed 0.66 to 2.1 s after its start
+# Trace id, offering, method, milliseconds that the client waits, kind of answer.
+IN_FLIGHT = (
+    ("settle-large-1", "sale-settle", "POST", 800, "large"),
+    ("settle-small-1", "sale-settle", "POST", 800, "small"),
+    ("settle-large-2", "sale-settle", "POST", 800, "large"),
+    ("balance-large-1", "balance-check", "GET", 2000, "large"),
+)
 
 
-class Arrivals:
-    """What arrived at the backends: (trace id, method, target, body)."""
+class Fleet:
+    """What the backends ran and gave."""
 
     def __init__(self, record):
-        self.record, self.lock, self.all = record, threading.Lock(), []
+        self.record, self.lock = record, threading.Lock()
+        self.began = {}  # moment of the first byte of the answer by trace id
+        self.whole = set()  # trace ids whose answers were given to the last byte
+        self.cut_off = {}  # bytes given by trace id, where the node ended the connection
 
     def serve(self, backend, messages):
-        """Runs one request of a connection."""
+        """Serves one request of a connection."""
         start, fields = messages.head()
-        method, target = (part.decode() for part in start.split()[:2])
-        body = messages.body(fields)
-        trace_id = fields.get(b"x-trace-id", b"").decode()
-        with self.lock:
-            self.all.append((trace_id, method, target, body))
-        time.sleep(0.03)
-        self.record.note(f"{backend.name} ran {method} {target} of {trace_id}, body {body!r}")
-        messages.sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
-
-
-def chunked(target: str, trace_id: str, body: bytes, headers: str = "") -> bytes:
-    """Returns a POST that announces a chunked body, followed by `body` as it is."""
-    return (
-        f"POST {target} HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: {trace_id}\r\n"
-        f"X-Customer: parish-schools\r\nX-Expires-In-Ms: 800\r\n{headers}"
-        "Transfer-Encoding: chunked\r\n\r\n"
-    ).encode() + body
+        messages.body(fields)
+        trace_id = fields[b"x-trace-id"].decode()
+        is_large = start.split()[1].endswith(b"/large")
+        if not trace_id.startswith("usual"):
+            time.sleep(WORK_S)
+        length, given = LARGE_BYTES if is_large else 2, 0
+        self.began[trace_id] = self.record.now()
+        self.record.note(f"{backend.name} ran {trace_id} and begins its answer of {length} bytes")
+        try:
+            messages.sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length)
+            while given < length:
+                piece = min(PIECE_BYTES, length - given)
+                messages.sock.sendall(b"x" * piece)
+                given += piece
+                time.sleep(PIECE_INTERVAL_S if is_large else 0)
+        except OSError:
+            self.cut_off[trace_id] = given
+            self.record.note(f"{backend.name} was cut off in {trace_id} after {given} bytes")
+            return False
+        self.whole.add(trace_id)
+        self.record.note(f"{backend.name} has given all of {trace_id}")
+        return True
+
+
+class Asker:
+    """Asks one thing and keeps what came back."""
+
+    def __init__(self, record, node, trace_id, name, method, wait_ms, kind):
+        self.record, self.trace_id, self.wait_s = record, trace_id, wait_ms / 1000
+        self.client, self.answer, self.took_s = Client(node.port), None, 0.0
+        body = b"litres=40" if method == "POST" else b""
+        self.request = request_bytes(method, f"/{name}/{kind}", trace_id, wait_ms, body)
+        self.sent_at = 0.0
+
+    def run(self):
+        """Sends the request and waits for its answer."""
+        self.client.send(self.request)
+        self.sent_at = self.record.now()
+        self.answer = self.client.answer(5)
+        self.client.close()
+        self.took_s = self.record.now() - self.sent_at
+        self.record.note(
+            f"client: {self.trace_id} answered {self.answer.status}, {len(self.answer.body)} bytes"
+            f" after {self.took_s:.3f} s {self.answer.fault}"
+        )
 
 
 def case(record, trouble, started):
     """Plays the case once; returns the exit status."""
-    arrivals = Arrivals(record)
-    backends = [Backend(f"s-{i}", arrivals.serve) for i in range(2)]
-    endpoints = [endpoint(each.name, each.address) for each in backends]
-    agent = DiscoveryAgent(endpoints)
-    started += [*backends, agent]
+    fleet = Fleet(record)
+    old, new = Backend("s-old", fleet.serve), Backend("s-new", fleet.serve)
+    listed = endpoint(old.name, old.address)
+    agent = DiscoveryAgent([listed])
+    started += [old, new, agent]
     offerings = [
         offering("balance-check", "free"),
-        offering("pump-hold", "guarded", group="zone", repeatWindowUs=10000000, credit=3),
         offering(
             "sale-settle", "single_shot", expectedTimeUs=300000, hardLimitUs=1000000, credit=8
         ),
     ]
-    node = Node(node_config(free_port(), agent.address, endpoints, offerings))
+    node = Node(node_config(free_port(), agent.address, [listed], offerings))
     started.append(node)
     node.start()
-    sent, faults = {}, []
-    for i in range(ROUNDS):
-        _usual(record, node, sent, i)
-        if trouble:
-            faults += _bad(record, node, i)
+    for i in range(10):
+        usual = Asker(record, node, f"usual-{i}", "balance-check", "GET", 2000, "small")
+        usual.run()
+        if usual.answer.status != 200:
+            raise CaseCouldNotRunError("an undisturbed request was not served")
+    askers = [Asker(record, node, *each) for each in IN_FLIGHT]
+    threads = [threading.Thread(target=each.run) for each in askers]
+    for thread in threads:
+        thread.start()
+    time.sleep(TOLD_AFTER_S)
+    if trouble:
+        record.note("discovery: s-old drains")
+        agent.tell([{**listed, "status": "DRAINING"}])
+        time.sleep(SUCCESSOR_AFTER_S)
+        record.note("discovery: s-new serves")
+        since_ms = int(time.time() * 1000)
+        agent.tell([{**endpoint(new.name, new.address), "since_ms": since_ms}])
+    for thread in threads:
+        thread.join()
     time.sleep(0.3)
-    for trace_id, method, target, body in arrivals.all:
-        if sent.get(trace_id) != (method, target, body):
-            faults.append(f"{trace_id}: a backend ran {method} {target} with {body!r}, unsent")
-    for fault in faults:
-        record.note(f"broken: {fault}")
-    return BROKEN if faults else HELD
-
-
-def _usual(record, node, sent, i):
-    """Sends a plain and a chunked request of a usual client."""
-    plain, in_chunks = f"plain-{i}", f"chunks-{i}"
-    sent[plain] = ("POST", f"/sale-settle/{i}", b"litres=40")
-    sent[in_chunks] = ("POST", f"/sale-settle/{i}", b"litres=41")
-    requests = {
-        plain: request_bytes(*sent[plain][:2], plain, 800, sent[plain][2]),
-        in_chunks: chunked(sent[in_chunks][1], in_chunks, b"9\r\nlitres=41\r\n0\r\n\r\n"),
-    }
-    for trace_id, request in requests.items():
-        client = Client(node.port)
-        client.send(request)
-        answer = client.answer(3)
-        client.close()
-        record.note(f"client: {trace_id} answered {answer.status} {answer.fault}")
-        if answer.status != 200:
-            raise CaseCouldNotRunError("a usual request was not served")
-
-
-def _bad(record, node, i):
-    """Sends the request that can't be read; returns how its client was served wrongly."""
-    client = Client(node.port)
-    unreadable = b"POST /refund/7 HTTP/1.1\r\nContent-Length: 9\r\n\r\nlitres=99"
-    client.send(
-        chunked(
-            f"/sale-settle/{i}",
-            f"bad-{i}",
-            unreadable,
-            "Connection: Upgrade\r\nUpgrade: h2c\r\n",
-        )
-    )
-    answer = client.answer(OWED_WITHIN_S)
-    client.close()
-    record.note(f"client: bad-{i} answered {answer.status} {answer.body!r} {answer.fault}")
-    return [f"bad-{i}: served with {answer.status}"] if answer.status == 200 else []
+    Asker(record, node, "usual-last", "balance-check", "GET", 2000, "small").run()
+    record.note(f"internal errors in the node's log: {node.log().count('internal_error')}")
+    return judge(record, fleet, askers)
+
+
+def judge(record, fleet, askers):
+    """Returns whether an answer over 64 KiB that began in time was cut off by the node."""
+    broken = False
+    for each in askers:
+        began_at = fleet.began.get(each.trace_id)
+        if began_at is None or each.answer.status == 200:
+            continue
+        in_time = began_at <= each.sent_at + each.wait_s + SLACK_S
+        if each.trace_id in fleet.cut_off and in_time:
+            broken = True
+            record.note(
+                f"broken: {each.trace_id} ran, its answer began {began_at - each.sent_at:.3f} s"
+                f" after it was sent and was cut off after {fleet.cut_off[each.trace_id]} of"
+                f" {LARGE_BYTES} bytes; its client got {each.answer.status}"
+            )
+        elif each.trace_id in fleet.whole:
+            record.note(
+                f"beside it: {each.trace_id} ran and was answered whole"
+                f" {began_at - each.sent_at:.3f} s after it was sent; its client got"
+                f" {each.answer.status} after {each.took_s:.3f} s"
+            )
+    return BROKEN if broken else HELD
 
 
 if __name__ == "__main__":
