Review case 3: the sim process ends at the same order of events

Tried: the list without a ready backend, then a good answer, on the simulator's wire. Done: the case plays it with the deploy file's `sim` command after the node on sockets.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,7 +2,7 @@
 
 One node, a fleet of one backend, two offerings of kingston-auth. The disruption: the backend is
 listed as draining while it works on four requests, and its successor is listed a second later. The
-backend finishes what it has, in time.
+backend finishes what it has, in time. Then the same order of events on the wire of `sim`.
 Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 """
 
@@ -16,6 +16,7 @@
 from rig.node import CaseCouldNotRunError, Node, free_port
 from rig.play import BROKEN, HELD, play
 from rig.settings import node_config, offering
+from rig.sim import Simulator
 
 SLACK_S = 0.05  # on sockets each time limit is 50 ms longer
 LARGE_BYTES = 200000  # over 64 KiB: only the first bytes are timed
@@ -92,19 +93,52 @@
 
 
 def case(record, trouble, started):
-    """Plays the case once; returns the exit status."""
-    fleet = Fleet(record)
-    old, new = Backend("s-old", fleet.serve), Backend("s-new", fleet.serve)
-    listed = endpoint(old.name, old.address)
-    agent = DiscoveryAgent([listed])
-    started += [old, new, agent]
-    offerings = [
+    """Plays the case on both hosts; returns the exit status."""
+    statuses = _on_sockets(record, trouble, started), _on_wire(record, trouble, started)
+    return BROKEN if BROKEN in statuses else HELD
+
+
+def _on_wire(record, trouble, started):
+    """Plays the order of events on the simulator's wire; an adapter that ends breaks the rules."""
+    simulator, backend = Simulator(), "10.18.74.7:11203"
+    started.append(simulator)
+    settings = node_config(1, "127.0.0.1:1", [], _offerings())["settings"]
+    boot = {"who": "node_0", "seed": 7, "conf": settings}
+    simulator.list_backend(0, backend, "Ready", "restored", {"Boot": boot})
+    for call in range(10):
+        simulator.send_request(call, "balance-check", 2000000)
+        simulator.complete(call, backend, 5000)
+    simulator.send_request(10, "sale-settle", 800000)
+    if trouble:
+        record.note("sim: the backend drains")
+        simulator.list_backend(1, backend, "Terminating", "update")
+    if simulator.complete(10, backend, 80000) is not None:
+        record.note("sim: the adapter took the answer and goes on")
+        return HELD
+    simulator.process.wait(5)
+    error = simulator.process.stderr.read().decode(errors="replace").strip().splitlines()
+    record.note(
+        f"broken: sim ended with {simulator.process.returncode} at the answer: {error[-1:]}"
+    )
+    return BROKEN
+
+
+def _offerings():
+    return [
         offering("balance-check", "free"),
         offering(
             "sale-settle", "single_shot", expectedTimeUs=300000, hardLimitUs=1000000, credit=8
         ),
     ]
-    node = Node(node_config(free_port(), agent.address, [listed], offerings))
+
+
+def _on_sockets(record, trouble, started):
+    fleet = Fleet(record)
+    old, new = Backend("s-old", fleet.serve), Backend("s-new", fleet.serve)
+    listed = endpoint(old.name, old.address)
+    agent = DiscoveryAgent([listed])
+    started += [old, new, agent]
+    node = Node(node_config(free_port(), agent.address, [listed], _offerings()))
     started.append(node)
     node.start()
     for i in range(10):
