--- a/review/2/case.py
+++ b/review/2/case.py
@@ -22,6 +22,7 @@
 LARGE_BYTES = 200000  # over 64 KiB: only the first bytes are timed
 PIECE_BYTES, PIECE_INTERVAL_S = 20000, 0.01
 WORK_S = 0.08  # from the last byte of a request to the first byte of its answer
+USUAL_WORK_S = 0.05  # the same for the undisturbed requests before
 TOLD_AFTER_S = 0.04  # from sending the requests to the change of the list
 SUCCESSOR_AFTER_S = 1.0  # a new backend is listed 0.66 to 2.1 s after its start
 # Trace id, offering, method, milliseconds that the client waits, kind of answer.
@@ -48,8 +49,7 @@
         messages.body(fields)
         trace_id = fields[b"x-trace-id"].decode()
         is_large = start.split()[1].endswith(b"/large")
-        if not trace_id.startswith("usual"):
-            time.sleep(WORK_S)
+        time.sleep(USUAL_WORK_S if trace_id.startswith("usual") else WORK_S)
         length, given = LARGE_BYTES if is_large else 2, 0
         self.began[trace_id] = self.record.now()
         self.record.note(f"{backend.name} ran {trace_id} and begins its answer of {length} bytes")
