--- a/review/2/case.py
+++ b/review/2/case.py
@@ -100,7 +100,7 @@
 
 def _on_wire(record, trouble, started):
     """Plays the order of events on the simulator's wire; an adapter that ends breaks the rules."""
-    simulator, backend = Simulator(), "10.18.74.7:11203"
+    simulator, backend = Simulator(), "127.0.0.7:11203"
     started.append(simulator)
     settings = node_config(1, "127.0.0.1:1", [], _offerings())["settings"]
     boot = {"who": "node_0", "seed": 7, "conf": settings}
