--- a/review/rig/play.py
+++ b/review/rig/play.py
@@ -14,8 +14,9 @@
 LIMIT_S = 110  # a case that takes longer is ended
 
 
-def _out_of_time(*_):
-    raise CaseCouldNotRunError(f"not over after {LIMIT_S} s")
+def _stop(number, _):
+    name = signal.Signals(number).name
+    raise CaseCouldNotRunError(f"ended by {name}; SIGALRM comes after {LIMIT_S} s")
 
 
 def play(folder: Path, case: Callable[[Record, bool, list], int]):
@@ -25,7 +26,8 @@
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record, started = Record(folder / "record.txt"), []
-    signal.signal(signal.SIGALRM, _out_of_time)
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _stop)
     signal.alarm(LIMIT_S)
     try:
         status = case(record, trouble, started)
