--- a/pierglade/balancer/rotation.py
+++ b/pierglade/balancer/rotation.py
@@ -140,9 +140,10 @@
         healthy = max(1, healthy)
         ready_count = len(self.by_rank)
         factor = self._load_reports.capacity_factor(now)
-        self.limit.update_backends(
-            now, healthy, factor * healthy * ready_count / max(1, len(subset))
-        )
+        # While no backend is ready, attempts at draining ones are still in flight and answered, so
+        # the fleet whose limit they count against is never empty.
+        fleet_size = factor * healthy * max(1, ready_count) / max(1, len(subset))
+        self.limit.update_backends(now, healthy, fleet_size)
         self._max_ready = max(self._max_ready, ready_count)
         if subset:
             self._update_warm_rate(now, len(subset))
--- a/pierglade/concurrency/limiter.py
+++ b/pierglade/concurrency/limiter.py
@@ -109,7 +109,10 @@
         return self._search.mode
 
     def update_backends(self, now: Ticks, healthy: int, fleet_size: float) -> None:
-        """Sets how many backends are healthy here, and the number of backends of all nodes."""
+        """Sets how many backends are healthy here, and the number of backends of all nodes.
+
+        Both are positive, also while no backend is ready.
+        """
         self._budget.spend(now)
         self._budget.healthy_backends, self._budget.fleet_size = healthy, fleet_size
 
--- a/tests/balancer/test_balancer.py
+++ b/tests/balancer/test_balancer.py
@@ -664,6 +664,23 @@
         balancer_harness.flow(4)
         self.check("list", balancer_harness.lines)
 
+    def test_answers_count_while_no_backend_is_ready(self):
+        """With an empty rotation the limit was 0, and each good answer divided by it."""
+        balancer_harness = BalancerHarness(["b0"])
+        for name in ("a", "b", "c"):
+            balancer_harness.take(name, request_class=2)
+        balancer_harness.list([listed("b0", EndpointState.DRAINING)])
+        balancer_harness.take("held")
+        for name in ("a", "b"):
+            balancer_harness.after(20)
+            balancer_harness.end(name)
+        balancer_harness.end("c", Outcome.REJECTED_UNPROCESSED)
+        balancer_harness.after(30)
+        balancer_harness.list(["b1"])
+        balancer_harness.end("held")
+        balancer_harness.flow(4)
+        self.check("none_ready", balancer_harness.lines)
+
     def test_removed_slow_backend_is_no_longer_slow(self):
         balancer_harness = BalancerHarness(["b0", "b1", "b3"])
         index = balancer_harness.node.endpoints.index["b1"]
--- a/tests/proxy/state/test_machine.py
+++ b/tests/proxy/state/test_machine.py
@@ -295,6 +295,16 @@
         harness.connect_upstream()
         self.check("node_drained", harness.lines)
 
+    def test_answers_reach_their_clients_while_no_backend_is_ready(self):
+        """They were thrown away with an internal error, and the clients waited for their deadline."""
+        harness = StateMachineHarness(["b0"])
+        harness.send_request("c0", "/pay")
+        harness.connect_upstream()
+        harness.update_endpoints([entry("b0", "DRAINING")], 2, whole=False)
+        harness.after(80)
+        harness.reply()
+        self.check("node_none_ready", harness.lines)
+
     def test_health_check_before_a_trial_request(self):
         harness = StateMachineHarness(["b0", "b1"])
         for name in ("c0", "c1"):
--- a/tests/simulator_adapter/test_connection.py
+++ b/tests/simulator_adapter/test_connection.py
@@ -156,6 +156,29 @@
         self.assertEqual((completed.returncode, completed.stdout), (2, b""))
         self.assertEqual(len(completed.stderr.splitlines()), 1)
 
+    def test_answer_while_no_backend_is_ready(self):
+        """A division by the size of an empty fleet ended the process with all of its instances."""
+        address = {"who": "node_1", "call": 12, "sendNo": 0, "backend": "10.0.0.1:80"}
+        draining = [{**backend, "status": "Terminating"} for backend in BACKENDS]
+        messages = [
+            *SESSION[:11],
+            {"Sync": {"wallUs": 12000}},
+            {"Census": {"ref": 1, "entries": draining}},
+            {"Discovery": {"who": "node_1", "ref": 1, "gen": 2, "scope": "update"}},
+            {"OverToYou": {}},
+            {
+                "Completed": {
+                    **address,
+                    "reason": "success",
+                    "durationUs": 4950,
+                    "doneFlag": True,
+                    "gauge": None,
+                }
+            },
+            {"OverToYou": {}},
+        ]
+        self.assertEqual(run_session(messages)[-1], '{"Done":{}}')
+
     def test_decision_error_reports_instance_failure(self):
         """An exception in a balancer is reported as a GiveIn message instead of ending the process."""
         connection = SimulatorConnection(io.BytesIO())
