--- a/pierglade/proxy/http/reader.py
+++ b/pierglade/proxy/http/reader.py
@@ -103,6 +103,26 @@
             return None
         return self.chunked_size if self.pieces is not None else self.end - self.body_start
 
+    def unsized_body_bytes(self) -> int | None:
+        """Returns the bytes read of a body whose length is known only at its end.
+
+        None if no such body is being read, or if it is streamed already.
+        """
+        is_final = self.message.status // 100 != 1
+        if self.pieces is None or self.in_use or self.body_complete or not is_final:
+            return None
+        return self.pieces_size
+
+    def begin_stream(self) -> Message | None:
+        """Returns the message being read, whose body is streamed from now on.
+
+        None if `unsized_body_bytes` is: the other messages are complete soon, or streamed anyway.
+        """
+        if self.unsized_body_bytes() is None:
+            return None
+        self.is_streamed = self.in_use = True
+        return self.message
+
     def has_more(self) -> bool:
         """Returns whether bytes follow the current message."""
         return self.end > self.position
--- a/pierglade/proxy/server.py
+++ b/pierglade/proxy/server.py
@@ -37,6 +37,7 @@
     ResyncEndpoints,
     SendRequest,
     SendResponse,
+    StreamResponse,
 )
 from pierglade.proxy.state.events import (
     ConfigurationLoaded,
@@ -142,6 +143,7 @@
             AbortConnection: self._end_connection,
             Connect: self._connect,
             SendRequest: lambda connection, head, body: connection.io.write(head, body),
+            StreamResponse: lambda connection: connection.io.stream_response(),
             CloseUpstream: self._end_connection,
             PollDiscovery: lambda: self.discovery.poll_now(),
             ResyncEndpoints: lambda: self.discovery.resync(),
--- a/pierglade/proxy/state/connections.py
+++ b/pierglade/proxy/state/connections.py
@@ -98,11 +98,13 @@
         "io",
         "is_health_check",
         "receiver",
+        "response_began_at",
         "response_piece_due_at",
         "since",
         "state",
         "timer",
         "timer_queued_at",
+        "unsized_body_bytes",
     )
 
     def __init__(self, backend):
@@ -112,13 +114,21 @@
         self.timer = self.timer_queued_at = None
         self.attempt = None
         self.is_health_check = False
-        self.response_piece_due_at = 0  # when the next piece of a response is due; 0: no piece is
+        self.expect_response()
         self.closed_while_busy = False
         self.body_stream = self.receiver = (
             None  # the response being streamed, and its client's connection
         )
         self.since = 0  # when it was opened or became idle
 
+    def expect_response(self):
+        """Clears what is known of the response being read: the next piece begins another one."""
+        self.response_began_at = 0  # when its first piece arrived; 0: none has
+        self.response_piece_due_at = 0  # when its next piece is due; 0: no piece is
+        # Bytes read of a body that could be streamed from now on, as its length is known only at
+        # its end; None where it can't.
+        self.unsized_body_bytes = None
+
 
 class EndpointRecord:
     """Address and state of a backend and its open connections."""
--- a/pierglade/proxy/state/constants.py
+++ b/pierglade/proxy/state/constants.py
@@ -6,6 +6,9 @@
 # closed in the next iteration of the event loop.
 RESERVED_DESCRIPTORS = 16
 REUSE_DELAY = 100  # 10 ms; backends sent duplicate responses up to 4 ms after the first
+# Bytes per tick, which is 32 kB/s; half the rate of slow clients and backends. A body that arrives
+# more slowly is taken for one that never ends.
+MIN_BODY_RATE = 3.2
 LOG_INTERVAL = 10000  # 1 s; frequent events are counted and logged once per interval
 
 READY_PATH, LIVE_PATH, STATS_PATH = b"/health/ready", b"/health/live", b"/stats"
--- a/pierglade/proxy/state/downstream.py
+++ b/pierglade/proxy/state/downstream.py
@@ -17,6 +17,7 @@
 )
 from pierglade.proxy.state.constants import (
     DEADLINE_MARGIN,
+    MIN_BODY_RATE,
 )
 from pierglade.proxy.state.effects import (
     AbortConnection,
@@ -30,7 +31,6 @@
 # clients take 2 s.
 HEAD_TIMEOUT = 25000
 BODY_TIMEOUT = 20000  # 2 s; how late a body sent at MIN_BODY_RATE may be
-MIN_BODY_RATE = 3.2  # bytes per tick, which is 32 kB/s; half the rate of slow clients
 CLIENT_READ_TIMEOUT = 50000  # 5 s; a client must read part of a response within this time
 # 2.5 s. Clients that stay connected after a single request would use up the descriptors that are
 # needed for upstream connections.
--- a/pierglade/proxy/state/effects.py
+++ b/pierglade/proxy/state/effects.py
@@ -44,6 +44,15 @@
     body: Any  # bytes, or a BodyStream
 
 
+class StreamResponse(NamedTuple):
+    """Report the response being read as received, and stream the rest of its body.
+
+    Only for a response whose length is known only at its end.
+    """
+
+    connection: UpstreamConnection
+
+
 class CloseUpstream(NamedTuple):
     """Close a connection to a backend."""
 
--- a/pierglade/proxy/state/events.py
+++ b/pierglade/proxy/state/events.py
@@ -80,6 +80,8 @@
     """A piece of a response has arrived; the response is not complete yet."""
 
     connection: UpstreamConnection
+    # Bytes read of a body that is not streamed yet and whose length is known only at its end.
+    unsized_body_bytes: int | None = None
 
 
 class ResponseReceived(NamedTuple):
--- a/pierglade/proxy/state/responses.py
+++ b/pierglade/proxy/state/responses.py
@@ -8,9 +8,15 @@
     CLOSED,
     IDLE,
 )
+from pierglade.proxy.state.effects import StreamResponse
 
 # Times are tenths of a millisecond.
 RESPONSE_PIECE_TIMEOUT = 1000  # 100 ms; between two pieces, as a malformed response may never end
+# 200 ms; from the head to the first pieces of a body of unknown length, as some backends send the
+# head before they have the body
+BODY_START_TIMEOUT = 2000
+# 1 s; how long a large response is held back at most, so that it can still be replaced
+MAX_RESPONSE_HOLD = 10000
 STREAM_PIECE_TIMEOUT = 50000  # 5 s; between two pieces of a response that is being streamed
 # Response headers that are not forwarded, as only the balancer needs them.
 WITHHELD_HEADERS = http.HOP_BY_HOP | {b"endpoint-load-metrics"}
@@ -27,14 +33,30 @@
         self.attempts = attempts
         self.health_checks = health_checks
 
-    def part_received(self, connection):
-        """Restarts the timeout for the next piece of a response; its reader bounds its size."""
+    def part_received(self, connection, unsized_body_bytes=None):
+        """Restarts the timeout for the next piece of a response; its reader bounds its size.
+
+        A response of unknown length is buffered at first, so that the request can be sent again if
+        the response breaks off. A large one that is written slowly is streamed from some time on.
+        """
         if connection.body_stream is not None:
             self.timers.set_timer(
                 connection, self.step.now + STREAM_PIECE_TIMEOUT, self._stream_stalled
             )
         elif connection.state is BUSY:
+            connection.response_began_at = connection.response_began_at or self.step.now
+            connection.unsized_body_bytes = unsized_body_bytes
+            if (
+                self.step.now >= connection.response_began_at + MAX_RESPONSE_HOLD
+                and self.upstream.may_stream_response(connection)
+            ):
+                return self.step.emit(StreamResponse(connection))
             connection.response_piece_due_at = self.step.now + RESPONSE_PIECE_TIMEOUT
+            if unsized_body_bytes is not None:
+                connection.response_piece_due_at = max(
+                    connection.response_piece_due_at,
+                    connection.response_began_at + BODY_START_TIMEOUT,
+                )
             self.upstream.restart_timeout(connection)
 
     def _stream_stalled(self, connection):
@@ -45,7 +67,7 @@
 
     def received(self, connection, message):
         """Handles a response that is complete, or whose body is streamed from now on."""
-        connection.response_piece_due_at = 0
+        connection.expect_response()
         if connection.state is IDLE:
             # The response is unsolicited. If the connection were reused, it would be mistaken for
             # the response to the next attempt.
@@ -121,5 +143,5 @@
         if connection.receiver is not None:
             connection.receiver.source = None
         connection.body_stream = connection.receiver = None
-        connection.response_piece_due_at = 0
+        connection.expect_response()
         self.upstream.release(connection, keep)
--- a/pierglade/proxy/state/upstream.py
+++ b/pierglade/proxy/state/upstream.py
@@ -17,6 +17,7 @@
 from pierglade.proxy.state.constants import (
     DEADLINE_MARGIN,
     LIVE_PATH,
+    MIN_BODY_RATE,
     NEVER,
     REUSE_DELAY,
     STATS_PATH,
@@ -25,6 +26,7 @@
     CloseUpstream,
     Connect,
     SendRequest,
+    StreamResponse,
 )
 
 # Times are tenths of a millisecond.
@@ -80,10 +82,23 @@
             moment = min(moment, connection.since + HEALTH_CHECK_TIMEOUT)
         self.timers.set_timer(connection, moment, self._timed_out)
 
+    def may_stream_response(self, connection):
+        """Returns whether the response being read is a large one whose body can be streamed.
+
+        Malformed responses that never end have arrived at a lower rate than large ones.
+        """
+        size = connection.unsized_body_bytes
+        duration = self.step.now - connection.response_began_at
+        return (
+            connection.attempt is not None and size is not None and size >= MIN_BODY_RATE * duration
+        )
+
     def _timed_out(self, connection):
         attempt = connection.attempt
         if connection.state is CONNECTING:
             self.disconnected(connection, CloseCause.CONNECT_FAILED, False, "connect time-out")
+        elif self.may_stream_response(connection):
+            self.step.emit(StreamResponse(connection))
         elif attempt is not None and self.step.now >= attempt.timeout_at - DEADLINE_MARGIN:
             self.attempts.abort(attempt, "timed out")
             self.attempts.report_outcome(attempt, Outcome.TIMEOUT)
--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -75,7 +75,9 @@
                     if self.connection.state is IDLE:
                         # Unsolicited bytes would be taken for the next response.
                         return self._report_closed(CloseCause.RESET, "unsolicited bytes while idle")
-                    self.handle_event(ResponsePartReceived(self.connection))
+                    self.handle_event(
+                        ResponsePartReceived(self.connection, self.responses.unsized_body_bytes())
+                    )
             if self.responses.ended():
                 self._handle_last_response()
         except ProtocolError as error:
@@ -99,12 +101,7 @@
             elif (message := self.responses.next()) is None:
                 return
             elif self.responses.is_streamed:
-                has_length = self.responses.pieces is None
-                message.body_stream = self.body_stream = BodyStream(
-                    self.responses.length if has_length else None, self.read_resumed.set
-                )
-                self.body_stream.add(self.responses.piece())
-                self.handle_event(ResponseReceived(self.connection, message))
+                self._begin_body(message)
                 if self.body_stream is None or not self.responses.body_complete:
                     return  # The body was aborted or is not complete yet.
                 self._finish_body(message)
@@ -112,6 +109,20 @@
                 self._handle_response(message)
             self.responses.release()
 
+    def _begin_body(self, message):
+        has_length = self.responses.pieces is None
+        message.body_stream = self.body_stream = BodyStream(
+            self.responses.length if has_length else None, self.read_resumed.set
+        )
+        self.body_stream.add(self.responses.piece())
+        self.handle_event(ResponseReceived(self.connection, message))
+
+    def stream_response(self):
+        """Reports the response being read as received; the rest of its body is streamed."""
+        message = self.responses.begin_stream()
+        if message is not None:
+            self._begin_body(message)
+
     def _handle_response(self, message):
         # The connection is not reused if the response arrived before the whole request was written,
         # as the rest of the request would follow. It is not reused either if bytes follow the
--- a/tests/proxy/test_large_bodies.py
+++ b/tests/proxy/test_large_bodies.py
@@ -2,11 +2,13 @@
 
 import socket
 import threading
+import time
 import unittest
 from unittest import mock
 
 import gevent
 
+from pierglade.model.request import Idempotency, RequestClass
 from pierglade.proxy.http import body_stream, reader
 from pierglade.proxy.state.connections import CloseCause
 from pierglade.proxy.state.events import (
@@ -21,7 +23,7 @@
 )
 from pierglade.proxy.upstream import UpstreamHandler
 from tests.proxy import test_sockets as test_net
-from tests.support.scene import StateMachineHarness, TraceTest, message
+from tests.support.scene import MS, StateMachineHarness, TraceTest, message
 
 
 def upload(harness, name, size=None, path="/pay", left=1000):
@@ -212,6 +214,82 @@
             lines += harness.lines
         self.check("large_answer", lines)
 
+    def test_slowly_written_response_of_unknown_length(self):
+        """Guards against ending such responses before they can be streamed, at over 64 KiB.
+
+        A pause of 100 ms ended them, and so did the deadline, though they had begun in time.
+        """
+        lines = []
+        for case, pieces in (
+            ("large pieces, long pauses", [(0, 16384), (150, 16384)]),
+            ("the head alone at first", [(0, 0), (150, 16384), (150, 16384)]),
+            ("small pieces, short pauses", [(0, 2048)] + [(30, 2048)] * 40),
+            ("small pieces with time left", [(0, 2048)] + [(30, 2048)] * 40),
+            ("few bytes", [(0, 5), (90, 5)]),
+            ("few bytes, again and again", [(0, 5)] + [(90, 5)] * 20),
+            ("a body with a length", [(0, None), (150, None)]),
+        ):
+            timeout = (3000 if "time left" in case else 1000) * MS
+            pay = RequestClass(0, "pay", Idempotency.UNSAFE, "all", 0, 400 * MS, timeout, 8.0)
+            harness = StateMachineHarness(["b0"], request_classes=[pay])
+            harness.send_request("c0", "/pay", left=timeout // MS)
+            harness.connect_upstream()
+            harness.after(30)
+            harness.lines, size = [case], 0
+            for pause, piece in pieces:
+                harness.after(pause)
+                size = None if piece is None else size + piece
+                if not any("link 0" in line for line in harness.lines):
+                    harness.handle_event(ResponsePartReceived(harness.links[0], size))
+            if not any("StreamResponse" in line for line in harness.lines):
+                harness.after(300)
+            lines += [line for line in harness.lines if line == case or "link 0" in line]
+        self.check("large_unsized", lines)
+
+    def test_response_of_unknown_length_is_streamed_past_its_deadline(self):
+        """Only its first bytes have to come in time; what is streamed is not cut off."""
+        harness = StateMachineHarness(["b0"])
+        harness.send_request("c0", "/pay", left=500)
+        harness.connect_upstream()
+        link = harness.links[-1]
+        harness.after(470)
+        harness.handle_event(ResponsePartReceived(link, 2048))
+        harness.after(25)
+        body = download(harness)
+        for _ in range(3):
+            harness.after(400)
+            body.add(b"x")
+            harness.handle_event(ResponsePartReceived(link))
+            body.take()
+        body.finish()
+        harness.handle_event(ResponseCompleted(link, True))
+        self.check("large_unsized_late", harness.lines)
+
+    def test_stream_begins_in_the_middle_of_a_response(self):
+        """The body is whole, whether a chunk or the connection ends it; others are not begun."""
+        chunked = b"HTTP/1.1 200 .\r\nTransfer-Encoding: chunked\r\n\r\n"
+        lines = []
+        for first, rest in (
+            (chunked + b"5\r\nabcde\r\n4\r\nfg", b"hi\r\n0\r\n\r\n"),
+            (chunked, b"9\r\nabcdefghi\r\n0\r\n\r\n"),
+            (b"HTTP/1.1 200 .\r\n\r\nabc", b"defghi"),
+            (b"HTTP/1.1 200 .\r\nContent-Length: 9\r\n\r\nabc", b"defghi"),
+            (b"HTTP/1.1 200 .\r\nTransfer-Enc", b"oding: chunked\r\n\r\n"),
+            (b"HTTP/1.1 102 .\r\nTransfer-Encoding: chunked\r\n\r\n", b""),
+        ):
+            responses, body = reader.ResponseReader(), b""
+            for data in (first, rest):
+                responses.writable()[: len(data)] = data
+                responses.filled(len(data))
+                if data is first:
+                    responses.next()
+                    size, begun = responses.unsized_body_bytes(), responses.begin_stream()
+                if begun:
+                    body += responses.piece()
+            ended = responses.body_complete or responses.ended()
+            lines.append(f"{size} bytes, begun {begun is not None}: {body.decode()}, ended {ended}")
+        self.check("large_unsized_reader", lines)
+
     def test_stalled_response(self):
         """The backend stops, the client reads nothing, one of them disconnects, or no client waits."""
         lines = []
@@ -255,10 +333,20 @@
             return (
                 b"HTTP/1.1 200 .\r\nTransfer-Encoding: chunked\r\n\r\n" + piece * 4 + b"0\r\n\r\n"
             )
+        if b"slow" in message.url:
+            return self.slowly(*((16384, 0.15, 6) if b"wide" in message.url else (2048, 0.03, 40)))
         if b"short" in message.url:
             return test_net.answer(200, bytes(self.SIZE))[: self.SIZE // 2]
         return test_net.answer(200, b"%d" % message.body_stream)
 
+    def slowly(self, size, pause_s, count):
+        """Yields a chunked response, `pause_s` between its head and each chunk of `size` bytes."""
+        yield test_net.CHUNKED
+        for _ in range(count):
+            time.sleep(pause_s)
+            yield b"%x\r\n%s\r\n" % (size, bytes(size))
+        yield b"0\r\n\r\n"
+
     def fetch(self, path, body=(), headers=b""):
         """Returns status, body size and body in chunks of the response, or "reset"."""
         data = bytearray()
@@ -281,6 +369,20 @@
             rest = rest[position:]
         return f"{head.split()[1].decode()} {len(rest)} {rest[:8]}, {chunk_bytes} in chunks"
 
+    def test_slowly_written_chunked_responses(self):
+        """Guards against cutting off chunked responses over 64 KiB that take a second to write."""
+        lines = []
+        requests = (b"GET /look/slow-wide", b"GET /look/slow", b"POST /pay/slow-wide-1")
+        clients = [
+            threading.Thread(target=lambda path=path: lines.append((path, self.fetch(path))))
+            for path in requests
+        ]
+        for client in clients:
+            client.start()
+        for client in clients:
+            client.join(60)
+        self.check("large_slowly", [f"{path.decode()}: {text}" for path, text in sorted(lines)])
+
     def test_32_mb_both_ways(self):
         lines, chunk = [], b"8000\r\n" + bytes(0x8000) + b"\r\n"
         early_end = []  # it stalls in the middle, until the proxy closes it
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -341,7 +341,8 @@
 class Peer:
     """A listening socket whose requests are recorded in `seen` and answered by `answer`.
 
-    Each connection is served by its own thread; if `answer` returns None, it is closed.
+    Each connection is served by its own thread; if `answer` returns None, it is closed. An answer may
+    be an iterable of pieces, which are written as it gives them.
     """
 
     def __init__(self, answer):
@@ -373,7 +374,8 @@
                     reply = self.answer(message)
                     if reply is None:
                         return
-                    sock.sendall(reply)
+                    for piece in (reply,) if isinstance(reply, bytes) else reply:
+                        sock.sendall(piece)
                     message_reader.release()
 
 
