--- a/pierglade/balancer/dispatch.py
+++ b/pierglade/balancer/dispatch.py
@@ -148,6 +148,7 @@
         ejections, class_index = self._ejections, request.request_class.index
         is_trial = self._selection.is_trial(request, backend)
         attempt = Attempt(request, len(request.attempts), backend, now, request.deadline, is_trial)
+        attempt.write_by = self._retry_rules.latest_resend(request)
         if ejections.reason[backend] in COUNTS_TOWARD_CAPACITY:
             self.limit.change_in_flight(now, 1)
             attempt.probing_round = self.limit.attempt_sent(now, class_index)
--- a/pierglade/balancer/retry.py
+++ b/pierglade/balancer/retry.py
@@ -228,10 +228,8 @@
         executed = request.first_possibly_executed
         if executed is None or request_class.idempotency == Idempotency.SAFE:
             return True
-        if (
-            request_class.idempotency == Idempotency.UNSAFE
-            or now >= executed.sent_at + request_class.deduplication_window
-        ):
+        latest = self.latest_resend(request)
+        if latest is None or now >= latest:
             return False
         scope, endpoints = request_class.deduplication_scope, self._endpoints
         return (
@@ -240,6 +238,17 @@
             or (scope == "cell" and endpoints.cell[backend] == endpoints.cell[executed.backend])
         )
 
+    @staticmethod
+    def latest_resend(request: Request) -> int | None:
+        """Returns until when a keyed request that may have been executed may be sent again.
+
+        None for other requests. It is sent at the moment of its last byte.
+        """
+        executed, request_class = request.first_possibly_executed, request.request_class
+        if executed is None or request_class.idempotency != Idempotency.KEYED:
+            return None
+        return executed.sent_at + request_class.deduplication_window
+
     @staticmethod
     def may_reject(request: Request) -> bool:
         """Returns whether the request may be rejected, which promises that a retry is harmless."""
--- a/pierglade/model/request.py
+++ b/pierglade/model/request.py
@@ -119,5 +119,8 @@
     """Whether it goes to an ejected backend, to test whether that has recovered."""
     probing_round: int = 0
     """Number of the concurrency limiter's probing round that it is part of; 0 for none."""
+    write_by: Ticks | None = None
+    """Moment until which its last byte may be sent, as backends forget an earlier attempt from then
+    on; None for no limit."""
     cancelled: bool = False
     outcome: Outcome | None = None
--- a/pierglade/proxy/server.py
+++ b/pierglade/proxy/server.py
@@ -24,6 +24,7 @@
 from pierglade.proxy.state.constants import NEVER
 from pierglade.proxy.state.effects import (
     AbortConnection,
+    AbortUnlessWritten,
     CloseListener,
     CloseUpstream,
     CloseWhenRead,
@@ -143,6 +144,7 @@
             AbortConnection: self._end_connection,
             Connect: self._connect,
             SendRequest: lambda connection, head, body: connection.io.write(head, body),
+            AbortUnlessWritten: lambda connection: connection.io.abort_unless_written(),
             StreamResponse: lambda connection: connection.io.stream_response(),
             CloseUpstream: self._end_connection,
             PollDiscovery: lambda: self.discovery.poll_now(),
--- a/pierglade/proxy/socket_io.py
+++ b/pierglade/proxy/socket_io.py
@@ -2,8 +2,11 @@
 
 import contextlib
 import ctypes
+import fcntl
 import socket
 import struct
+import sys
+import termios
 
 from gevent import socket as gevent_socket
 from gevent.event import Event
@@ -94,6 +97,19 @@
     return True
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Returns the bytes that were written but not acknowledged by the peer's kernel.
+
+    0 if the kernel does not tell.
+    """
+    count = bytearray(4)
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)  # SIOCOUTQ has the same number
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
 def peer_has_closed(sock: socket.socket) -> bool:
     """Returns whether the peer has closed the connection, even if unread bytes come before that."""
     try:
--- a/pierglade/proxy/state/attempts.py
+++ b/pierglade/proxy/state/attempts.py
@@ -162,6 +162,8 @@
             # The client has disconnected or was already answered. This is checked here as well,
             # because the balancer does not cancel attempts if cancelling is disabled.
             return self.withdraw(connection, Outcome.NOT_SENT)
+        if attempt.write_by is not None and self.step.now >= attempt.write_by:
+            return self.withdraw(connection, Outcome.NOT_SENT)
         if self.endpoints.is_draining(backend):
             # The drain grace period is not used: discovery may have notified the backend well
             # before it notified this process.
--- a/pierglade/proxy/state/connections.py
+++ b/pierglade/proxy/state/connections.py
@@ -30,6 +30,8 @@
     RESET = "reset"
     STALE = "stale"  # an idle connection was found closed before a byte was written
     MALFORMED_RESPONSE = "malformed_response"
+    # The deduplication window of an earlier attempt ended before the last byte was sent.
+    WRITE_OVERDUE = "write_overdue"
     CLIENT_GONE = "client_gone"  # the client disconnected before its request body was complete
 
 
--- a/pierglade/proxy/state/effects.py
+++ b/pierglade/proxy/state/effects.py
@@ -53,6 +53,12 @@
     connection: UpstreamConnection
 
 
+class AbortUnlessWritten(NamedTuple):
+    """Abort a connection unless the backend has received the request on it to the last byte."""
+
+    connection: UpstreamConnection
+
+
 class CloseUpstream(NamedTuple):
     """Close a connection to a backend."""
 
--- a/pierglade/proxy/state/upstream.py
+++ b/pierglade/proxy/state/upstream.py
@@ -23,6 +23,7 @@
     STATS_PATH,
 )
 from pierglade.proxy.state.effects import (
+    AbortUnlessWritten,
     CloseUpstream,
     Connect,
     SendRequest,
@@ -75,9 +76,10 @@
         moment = connection.response_piece_due_at or NEVER
         if connection.state is CONNECTING:
             moment = connection.since + self.balancers.settings.connect_timeout
-        if connection.attempt is not None:
+        attempt = connection.attempt
+        if attempt is not None:
             # Times out before the client's deadline.
-            moment = min(moment, connection.attempt.timeout_at - DEADLINE_MARGIN)
+            moment = min(moment, attempt.timeout_at - DEADLINE_MARGIN, attempt.write_by or NEVER)
         elif connection.is_health_check:
             moment = min(moment, connection.since + HEALTH_CHECK_TIMEOUT)
         self.timers.set_timer(connection, moment, self._timed_out)
@@ -95,7 +97,9 @@
 
     def _timed_out(self, connection):
         attempt = connection.attempt
-        if connection.state is CONNECTING:
+        if attempt is not None and self.step.now >= (attempt.write_by or NEVER):
+            self._write_overdue(connection, attempt)
+        elif connection.state is CONNECTING:
             self.disconnected(connection, CloseCause.CONNECT_FAILED, False, "connect time-out")
         elif self.may_stream_response(connection):
             self.step.emit(StreamResponse(connection))
@@ -110,6 +114,15 @@
                 else (CloseCause.CONNECT_FAILED, False, "probe time-out"),
             )
 
+    def _write_overdue(self, connection, attempt):
+        """Gives up an attempt that the backend has not received in time to drop it as a repeat."""
+        attempt.write_by = None
+        if connection.state is CONNECTING:
+            self.attempts.abort(attempt, "too late to send")
+            return self.attempts.report_outcome(attempt, Outcome.NOT_SENT)
+        self.restart_timeout(connection)
+        self.step.emit(AbortUnlessWritten(connection))
+
     def connected(self, connection):
         """Sends the attempt or health check of a connection that is established."""
         if connection.state is not CONNECTING:
@@ -198,20 +211,15 @@
         if cause is CloseCause.STALE:
             # Nothing was written, so the attempt has not begun and is sent again.
             return self.attempts.send(attempt)
-        if cause in (CloseCause.MALFORMED_RESPONSE, CloseCause.CLIENT_GONE):
+        if cause in (
+            CloseCause.MALFORMED_RESPONSE,
+            CloseCause.CLIENT_GONE,
+            CloseCause.WRITE_OVERDUE,
+        ):
             # The proxy closed the connection. The backend may still be responding, and the attempt
             # is in flight there until the close arrives.
             attempt.request.caller_context.last_abort_at = self.step.now
-        # A client that disconnects during its upload is not a failure of the backend.
-        outcome = (
-            Outcome.SERVER_ERROR
-            if cause is CloseCause.MALFORMED_RESPONSE
-            else Outcome.NOT_SENT
-            if cause is CloseCause.CLIENT_GONE
-            else Outcome.CONNECTION_RESET
-            if request_written
-            else Outcome.CONNECT_FAILED
-        )
+        outcome = _outcome(cause, request_written)
         self.step.log(
             "attempt_failed", backend=connection.backend.name, reason=reason, outcome=outcome.value
         )
@@ -239,3 +247,15 @@
             connection.receiver.source = None
             connection.body_stream = connection.receiver = None
         self.step.emit(CloseUpstream(connection))
+
+
+def _outcome(cause, request_written):
+    """Returns the outcome of an attempt whose connection has ended."""
+    if cause is CloseCause.MALFORMED_RESPONSE:
+        return Outcome.SERVER_ERROR
+    if cause is CloseCause.CLIENT_GONE:
+        # A client that disconnects during its upload is not a failure of the backend.
+        return Outcome.NOT_SENT
+    if request_written:
+        return Outcome.CONNECTION_RESET
+    return Outcome.NOT_SENT if cause is CloseCause.WRITE_OVERDUE else Outcome.CONNECT_FAILED
--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -266,6 +266,22 @@
                 ),
             )
 
+    def abort_unless_written(self):
+        """Aborts the connection unless the backend has received the whole request.
+
+        What it has not acknowledged could still reach it from the kernel's buffer, at any time.
+        """
+        if self.is_request_written and not socket_io.unacknowledged_bytes(self.sock):
+            return
+        self.handle_event(
+            UpstreamClosed(
+                self.connection,
+                CloseCause.WRITE_OVERDUE,
+                self.is_request_written,
+                "deduplication window ended before the request was received",
+            )
+        )
+
     def _abort_body(self):
         if self.body_stream is not None:
             self.body_stream.abort_body()
--- a/tests/balancer/test_balancer.py
+++ b/tests/balancer/test_balancer.py
@@ -560,6 +560,26 @@
         balancer_harness.end("b", Outcome.SERVER_ERROR)
         self.check("stamped", balancer_harness.lines)
 
+    def test_only_a_keyed_retry_has_to_be_written_by_the_end_of_its_window(self):
+        """The window counts from the first attempt that may have been executed."""
+        balancer_harness, lines = BalancerHarness(["b0", "b1", "b2"], max_attempts=4), []
+        for name, request_class, outcomes in (
+            ("look", 0, (Outcome.SERVER_ERROR,)),
+            ("hold", 1, (Outcome.CONNECT_FAILED, Outcome.SERVER_ERROR)),
+        ):
+            request = balancer_harness.take(name, request_class)
+            for outcome in outcomes:
+                balancer_harness.after(20)
+                balancer_harness.end(name, outcome, note=False)
+            lines += [
+                (name, attempt.write_by and attempt.write_by - request.arrived_at)
+                for attempt in request.attempts
+            ]
+        self.assertEqual(
+            lines,
+            [("look", None)] * 2 + [("hold", None)] * 2 + [("hold", (20 + 300) * MS)],
+        )
+
     def test_request_deadline(self):
         balancer_harness = BalancerHarness([])
         balancer_harness.take("a")
--- a/tests/proxy/state/test_machine.py
+++ b/tests/proxy/state/test_machine.py
@@ -113,6 +113,31 @@
             lines += harness.lines
         self.check("node_may_have_run", lines)
 
+    def test_keyed_retry_is_received_within_its_deduplication_window(self):
+        """Guards against a second execution: the window was checked only when the retry was decided.
+
+        Its connection was established later, or the backend read its body past the window.
+        """
+        lines = []
+        for case in ("never connected", "not received in time", "received in time", "never run"):
+            harness = StateMachineHarness(["b0", "b1"])
+            harness.send_request("c0", "/hold")
+            harness.connect_upstream()
+            harness.after(200)
+            harness.lines = [case]
+            harness.lose(whole=case != "never run")
+            harness.after(50)
+            if case != "never connected":
+                harness.connect_upstream()
+            harness.after(60)
+            if case == "not received in time":
+                harness.lose(CloseCause.WRITE_OVERDUE, whole=False)
+            elif case != "never connected":
+                harness.reply()
+            harness.after(10)
+            lines += harness.lines
+        self.check("node_window", lines)
+
     def test_attempt_times_out_before_the_deadline(self):
         harness = StateMachineHarness(["b0"])
         harness.send_request("c0", "/pay", left=700)
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -17,7 +17,7 @@
 from gevent.event import Event
 
 from pierglade import __main__ as start
-from pierglade.proxy import discovery
+from pierglade.proxy import discovery, socket_io
 from pierglade.proxy import downstream as clients
 from pierglade.proxy.downstream import DownstreamHandler
 from pierglade.proxy.event_loop import Clock, EventLoopMonitor, Timer
@@ -577,6 +577,35 @@
 
 
 class UpstreamConnections(TraceTest):
+    def test_request_that_is_not_received_is_aborted(self):
+        """What the kernel still holds must not reach the backend once the window has ended."""
+        lines = []
+        for case in ("whole", "not read", "half written"):
+            listener = socket.create_server(("127.0.0.1", 0))
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            handler = UpstreamHandler(
+                mock.Mock(),
+                lambda event, case=case: lines.append(
+                    f"{case}: {type(event).__name__} {event[1:]}"
+                ),
+            )
+            handler.sock.connect(listener.getsockname())
+            backend, _ = listener.accept()
+            size = 100 if case == "whole" else 60000
+            handler.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 18)
+            handler.sock.sendall(bytes(size))
+            handler.is_request_written = case != "half written"
+            if case == "whole":
+                self.assertEqual(len(backend.recv(size, socket.MSG_WAITALL)), size)
+                give_up_at = time.monotonic() + 20
+                while socket_io.unacknowledged_bytes(handler.sock):
+                    self.assertLess(time.monotonic(), give_up_at)
+                    gevent.sleep(0.001)
+            handler.abort_unless_written()
+            for sock in (handler.sock, backend, listener):
+                sock.close()
+        self.check("net_overdue", lines)
+
     def test_bytes_behind_a_response(self):
         """Guards against reuse of a connection with unsolicited bytes behind a response.
 
