A chunked body of a request to upgrade is read as such, not as another request

What callers saw: a request with Connection: Upgrade and, in place of chunks, the head and body of another request was forwarded with both targets joined and the inner body, and a backend ran it: work that nobody sent. A well-formed chunked one got 400.

Cause: from such a head on the parser takes what it is fed for a new message; MessageReader._feed ignored its HttpParserUpgrade and went on to feed it the chunks. A CONNECT takes the same way (found by a test of the reader).

Change: the body is fed to a parser of its own that reports nothing but the body.

--- a/pierglade/proxy/http/reader.py
+++ b/pierglade/proxy/http/reader.py
@@ -22,6 +22,7 @@
 # body has more framing than data.
 MAX_CHUNKING_OVERHEAD = 4
 MAX_CHUNK_LINE_BYTES = 4096  # a line between or after chunks; extensions and trailers are short
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one; backends need no more
 MAX_RESPONSE_BODY_BYTES = 1 << 30  # large responses are streamed, not buffered
 
@@ -62,6 +63,22 @@
             self.line, self.line_ended = b"", False
 
 
+class ChunkCallbacks:
+    """Passes on to a reader what a parser calls back about a chunked body, and nothing else."""
+
+    def __init__(self, message_reader: "MessageReader"):
+        self.on_body = message_reader.on_body
+        self.on_chunk_header = message_reader.on_chunk_header
+        self.on_message_complete = message_reader.on_message_complete
+
+
+def chunk_parser(message_reader: "MessageReader") -> httptools.HttpRequestParser:
+    """Returns a parser to be fed the chunked body of the message that is being read."""
+    parser = httptools.HttpRequestParser(ChunkCallbacks(message_reader))
+    parser.feed_data(CHUNKED_HEAD)
+    return parser
+
+
 class MessageReader:
     """Reads one direction of a connection: a buffer to read into, and the messages in it."""
 
@@ -314,7 +331,9 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            pass  # Upgrades are not supported: the message is answered like any other.
+            # Upgrades are not supported: the message is read and answered like any other. Its own
+            # parser would take the lines of a chunked body for the head of another message.
+            self.parser = chunk_parser(self)
         except httptools.HttpParserError as error:
             cause = error.__context__
             if isinstance(cause, ProtocolError):
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -92,6 +92,8 @@
 
 class MessageParsing(TraceTest):
     CHUNKED_POST = b"POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    UPGRADE_POST = CHUNKED_POST[:-2] + b"Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+    INNER_REQUEST = b"POST /refund/7 HTTP/1.1\r\nContent-Length: 9\r\n\r\nlitres=99"
     REQUESTS = [
         b"GET /a?b=c HTTP/1.1\r\n" + HOST + b"\r\nPOST /d HTTP/1.1\r\nContent-Length: 3\r\n\r\nxyz"
         b"GET /e HTTP/1.0\r\n\r\n",
@@ -123,6 +125,13 @@
         b"\x16\x03\x01\x02\r\n",
         b"GET / HTTP/9\r\n\r\n",
         b"GET / HTTP/1.1\nHost: h\n\n",
+        # The body of a request to upgrade was read as the head of another one, and both were joined.
+        UPGRADE_POST + INNER_REQUEST,
+        UPGRADE_POST + b"4\r\na\nbc\r\n0\r\n\r\nGET /f HTTP/1.1\r\n\r\n",
+        UPGRADE_POST + b"0\r\nX-Sum: 1\r\n\r\n" + INNER_REQUEST,
+        UPGRADE_POST.replace(b"Transfer-Encoding: chunked", b"Content-Length: 3") + b"abc",
+        UPGRADE_POST + b"400\r\n%s\r\n" % (b"y" * 1024) * 63 + b"0\r\n\r\n",
+        b"CONNECT /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + INNER_REQUEST,
     ]
     ANSWERS = [
         b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
