A connection over a long link rests longer before it is used again

Cause: a connection was reused 10 ms after a response, however long its link; a copy may be slower on its way than the response by two thirds of the time one way.

Change: half of the shortest time that connecting to the backend took is added.

Tests: the state machine's new one fails before (the connection is reused after 15 ms).

--- a/pierglade/proxy/state/attempts.py
+++ b/pierglade/proxy/state/attempts.py
@@ -17,7 +17,6 @@
 )
 from pierglade.proxy.state.constants import (
     DEADLINE_MARGIN,
-    REUSE_DELAY,
 )
 from pierglade.proxy.state.effects import (
     PollDiscovery,
@@ -126,12 +125,13 @@
         if backend is None or self.endpoints.is_draining(backend):
             return self.report_outcome(attempt, Outcome.REJECTED_UNPROCESSED)
         # The most recently used connection is preferred, so that surplus connections reach the idle
-        # timeout. No connection is reused within REUSE_DELAY.
+        # timeout. No connection is reused within the reuse delay.
+        reuse_delay = backend.reuse_delay()
         connection = next(
             (
                 connection
                 for connection in reversed(backend.idle)
-                if self.step.now - connection.since >= REUSE_DELAY
+                if self.step.now - connection.since >= reuse_delay
             ),
             None,
         )
--- a/pierglade/proxy/state/connections.py
+++ b/pierglade/proxy/state/connections.py
@@ -2,6 +2,8 @@
 
 from enum import StrEnum
 
+from pierglade.proxy.state.constants import REUSE_DELAY
+
 
 class ConnectionState(StrEnum):
     """The state of a connection.
@@ -142,6 +144,7 @@
         "entry",
         "health_check_connection",
         "idle",
+        "min_connect_time",
         "name",
         "open_connections",
         "started",
@@ -158,8 +161,23 @@
         self.open_connections = 0  # open connections, including idle ones
         self.connecting_count = 0  # those of the open connections that are not established yet
         self.health_check_connection = None  # the connection of a pending health check
+        # The shortest time that connecting to its address took, which is about one round trip.
+        self.min_connect_time = None
         self.entry = None  # the last Endpoint that discovery reported
 
+    def connect_measured(self, duration):
+        """Records how long it took to establish a connection."""
+        if self.min_connect_time is None or duration < self.min_connect_time:
+            self.min_connect_time = duration
+
+    def reuse_delay(self):
+        """Returns for how long a connection is not reused after a response.
+
+        A duplicate response may take longer on its way than the first one did. By how much depends
+        on the distance: transit times vary by a fraction of their mean.
+        """
+        return REUSE_DELAY + (self.min_connect_time or 0) // 2
+
 
 def set_state(connection, state, by_state):
     """Changes the state of a connection and appends it to the connections in that state."""
--- a/pierglade/proxy/state/constants.py
+++ b/pierglade/proxy/state/constants.py
@@ -5,7 +5,7 @@
 # File descriptors that are not counted as connections: the one to discovery, and those that are
 # closed in the next iteration of the event loop.
 RESERVED_DESCRIPTORS = 16
-REUSE_DELAY = 100  # 10 ms; backends sent duplicate responses up to 4 ms after the first
+REUSE_DELAY = 100  # 10 ms; backends send duplicate responses some milliseconds after the first
 # Bytes per tick, which is 32 kB/s; half the rate of slow clients and backends. A body that arrives
 # more slowly is taken for one that never ends.
 MIN_BODY_RATE = 3.2
--- a/pierglade/proxy/state/endpoints.py
+++ b/pierglade/proxy/state/endpoints.py
@@ -100,6 +100,7 @@
             ):
                 # Another process uses this name now; connections to the earlier one are useless.
                 backend.address, backend.started = address, entry.started_at
+                backend.min_connect_time = None
                 self._close_idle(backend, "restarted")
                 changed.append((entry.name, "restarted"))
             backend.entry = entry
--- a/pierglade/proxy/state/upstream.py
+++ b/pierglade/proxy/state/upstream.py
@@ -19,7 +19,6 @@
     LIVE_PATH,
     MIN_BODY_RATE,
     NEVER,
-    REUSE_DELAY,
     STATS_PATH,
 )
 from pierglade.proxy.state.effects import (
@@ -128,6 +127,7 @@
         if connection.state is not CONNECTING:
             return
         connection.backend.connecting_count -= 1
+        connection.backend.connect_measured(self.step.arrived_at - connection.since)
         set_state(connection, BUSY, self.by_state)
         self.restart_timeout(connection)
         if connection.attempt is None and not connection.is_health_check:
@@ -165,7 +165,7 @@
             connection.since = self.step.now
             if backend.connecting_count:
                 self.timers.schedule(
-                    self.step.now + REUSE_DELAY, self._take_over_attempt, connection
+                    self.step.now + backend.reuse_delay(), self._take_over_attempt, connection
                 )
             self.timers.set_timer(
                 connection,
--- a/tests/proxy/state/test_machine.py
+++ b/tests/proxy/state/test_machine.py
@@ -276,6 +276,23 @@
 
 
 class Backends(TraceTest):
+    def test_connection_over_a_long_link_is_reused_later(self):
+        """Guards against taking a duplicate response for the next one; a long link delays it by more.
+
+        The link takes 10 ms each way: a duplicate 8 ms late came up to 15 ms after the response.
+        """
+        harness = StateMachineHarness(["b0"])
+        harness.send_request("c0")
+        harness.after(20)
+        harness.connect_upstream()
+        harness.after(30)
+        harness.reply()
+        harness.response_sent("c0")
+        for name, pause in (("c1", 15), ("c2", 5)):
+            harness.after(pause)
+            harness.send_request(name)
+        self.check("node_long_link", [line for line in harness.lines if "link" in line])
+
     def test_endpoint_list_messages(self):
         harness = StateMachineHarness(None)
         harness.send_request("c0", "/health/ready", "GET")
--- a/tests/proxy/test_crossing_events.py
+++ b/tests/proxy/test_crossing_events.py
@@ -30,7 +30,6 @@
 from pierglade.proxy.server import ProxyServer
 from pierglade.proxy.state import downstream as downstream_state
 from pierglade.proxy.state.connections import CloseCause, ConnectionState
-from pierglade.proxy.state.constants import REUSE_DELAY
 from pierglade.proxy.state.events import (
     ConfigurationLoaded,
     EndpointsUpdated,
@@ -182,8 +181,8 @@
         run_until(
             lambda: (
                 all(
-                    state_machine.step.now - link.since >= REUSE_DELAY
-                    and self.host.clock.now() - link.since >= REUSE_DELAY
+                    state_machine.step.now - link.since >= link.backend.reuse_delay()
+                    and self.host.clock.now() - link.since >= link.backend.reuse_delay()
                     for link in state_machine.upstream.by_state[ConnectionState.IDLE]
                 )
                 or self.host.handle_event(TimerFired())
@@ -555,7 +554,7 @@
             )
             run_until(
                 lambda: all(
-                    proxy.host.clock.now() - link.since > REUSE_DELAY
+                    proxy.host.clock.now() - link.since > link.backend.reuse_delay()
                     for link in state_machine.upstream.by_state[ConnectionState.IDLE]
                 )
             )
