After an exception about an attempt's end its client is answered at once

Cause: the attempt had been taken from its connection before, or the connection was closed, so recover_from_fault found no client.

Change: the attempt stays attached until it is reported, and recovery asks closed connections as well.

Tests: an answer, a server error and a reset whose report raises; before, 504 at the deadline in all three; now 500 at once.

--- a/pierglade/proxy/state/lifecycle.py
+++ b/pierglade/proxy/state/lifecycle.py
@@ -152,9 +152,10 @@
 
     def recover_from_fault(self, connection):
         """After an exception in `apply`, answers and closes the connection of the event."""
-        if isinstance(connection, UpstreamConnection) and connection.state is not CLOSED:
+        if isinstance(connection, UpstreamConnection):
             attempt, connection.attempt = connection.attempt, None
-            self.upstream.close(connection, "fault")
+            if connection.state is not CLOSED:
+                self.upstream.close(connection, "fault")
             if attempt is not None:
                 self.attempts.connections.pop(attempt, None)
                 connection = attempt.request.caller_context
--- a/pierglade/proxy/state/responses.py
+++ b/pierglade/proxy/state/responses.py
@@ -92,17 +92,21 @@
 
     def _attempt_answered(self, connection, message):
         """Reports a response to the balancer; returns whether its body is still to be streamed."""
-        attempt, connection.attempt = connection.attempt, None
+        # The attempt stays attached until it is reported, so that `recover_from_fault` finds its
+        # client.
+        attempt = connection.attempt
         # A client error is forwarded, except 429: that would tell the client that its request was
         # not executed, which is unknown.
         rejected = 400 <= message.status < 500 and message.status != 429
         if message.status != 200 and not rejected:
             self._attempt_failed(connection, attempt, message)
+            connection.attempt = None
             return False
         request = attempt.request
         is_awaited = not request.completed
         outcome = Outcome.CLIENT_ERROR if rejected else Outcome.SUCCESS
         self.attempts.report_outcome(attempt, outcome, answered=True)
+        connection.attempt = None
         if not is_awaited:
             return False
         if rejected or len(request.attempts) > 1 or self.step.now > request.objective_at:
--- a/pierglade/proxy/state/upstream.py
+++ b/pierglade/proxy/state/upstream.py
@@ -200,7 +200,7 @@
         """Handles the end of a connection; `request_written`: whether to the last byte."""
         if connection.state is CLOSED:
             return
-        attempt, connection.attempt = connection.attempt, None
+        attempt = connection.attempt
         if connection.state is CONNECTING:
             self.counters.count("connections_refused")
         if connection.is_health_check:
@@ -210,6 +210,7 @@
             return
         if cause is CloseCause.STALE:
             # Nothing was written, so the attempt has not begun and is sent again.
+            connection.attempt = None
             return self.attempts.send(attempt)
         if cause in (
             CloseCause.MALFORMED_RESPONSE,
@@ -224,6 +225,8 @@
             "attempt_failed", backend=connection.backend.name, reason=reason, outcome=outcome.value
         )
         self.attempts.report_outcome(attempt, outcome)
+        # Only now, so that `recover_from_fault` finds its client.
+        connection.attempt = None
 
     def close(self, connection, reason):
         """Closes a connection at once."""
--- a/tests/proxy/state/test_machine.py
+++ b/tests/proxy/state/test_machine.py
@@ -242,6 +242,26 @@
         harness.after(998)
         self.check("node_fault", harness.lines)
 
+    def test_client_is_answered_after_an_exception_about_its_attempt(self):
+        """It waited for its deadline: the attempt had left its connection, or that was closed."""
+        lines = []
+        for case in ("answer", "server error", "reset"):
+            harness = StateMachineHarness(["b0"])
+            harness.send_request("c0", "/pay")
+            harness.connect_upstream()
+            harness.lines, balancer = [case], harness.state_machine.balancers.current
+            with mock.patch.object(balancer, "attempt_ended", side_effect=ZeroDivisionError):
+                with self.assertRaises(ZeroDivisionError):
+                    harness.lose() if case == "reset" else harness.reply(
+                        200 if case == "answer" else 500
+                    )
+                for effect in harness.state_machine.recover_from_fault(harness.links[0]):
+                    name = getattr(getattr(effect, "connection", None), "io", None)
+                    harness.record(f"{type(effect).__name__} {name.name if name else ''}".rstrip())
+            harness.after(998)
+            lines += [line for line in harness.lines if "counters" not in line]
+        self.check("node_fault_reported", lines)
+
     def test_attempt_moves_to_a_connection_that_is_idle_first(self):
         """An attempt bound to the connection it opened would wait for the handshake while another
         connection is idle.
