Children listen on ports that the kernel assigns to nobody else

Cause: free_port took an ephemeral port, which the kernel may assign to another process before the child listens on it.

Change: it takes one from 10,000 to 15,999, under where kernels assign by themselves.

--- a/pierglade/processes/children.py
+++ b/pierglade/processes/children.py
@@ -3,8 +3,10 @@
 Start with `Children`.
 """
 
+import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,6 +20,9 @@
 """Time for a child to end after SIGTERM; then it is killed."""
 START_TIMEOUT_S = 15.0
 """Time for a child that logs to a file to log the event `started`."""
+FREE_PORTS = range(10000, 16000)
+"""Ports that kernels do not assign by themselves: theirs begin at 16,000 or 32,768."""
+MAX_PORT_TRIES = 100
 POLL_INTERVAL_S = 0.02
 """Interval at which the log of a starting child is read."""
 
@@ -31,10 +36,19 @@
 
 
 def free_port() -> int:
-    """Returns a loopback port that is free at the moment."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a loopback port that is free, and that the kernel assigns to no other socket.
+
+    A child listens on it only later. Ephemeral ports are no use: the kernel assigns them to
+    connections, and to sockets that are bound to port 0.
+
+    Raises:
+        OSError: no free port was found.
+    """
+    for _ in range(MAX_PORT_TRIES):
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", random.choice(FREE_PORTS)))
+            return sock.getsockname()[1]
+    raise OSError(f"no free port found in {MAX_PORT_TRIES} tries")
 
 
 class Children:
--- a/tests/proxy/test_operations.py
+++ b/tests/proxy/test_operations.py
@@ -14,6 +14,7 @@
 
 from pierglade import __main__ as start
 from pierglade.model.request import Idempotency, RequestClass
+from pierglade.processes import children
 from pierglade.proxy import management, takeover
 from pierglade.proxy.state.events import (
     ConfigurationLoaded,
@@ -404,8 +405,7 @@
 
 
 def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return "127.0.0.1:%d" % sock.getsockname()[1]
+    return f"127.0.0.1:{children.free_port()}"
 
 
 class ProcessLocks(unittest.TestCase):
