A signal during a callback of asyncio's loop ends the demo

Cause: the signal handler raises, asyncio's loop logs and drops what is raised during a callback, and further signals are ignored. Shown by a script on: the signal in a callback, and the coroutine returned after its whole second.

Change: while a coroutine runs (Children.run) the handler cancels its task, and the stop is raised from there.

--- a/pierglade/cli/demo.py
+++ b/pierglade/cli/demo.py
@@ -366,7 +366,7 @@
                     f"the node at {node} or the plain node at {plain} did not become ready within 5 s",
                     UNRELIABLE,
                 )
-            result = asyncio.run(
+            result = children.run(
                 _measure(seconds, rate, node, plain, management, children, as_json)
             )
     except ChildExitedError as error:
--- a/pierglade/processes/children.py
+++ b/pierglade/processes/children.py
@@ -3,6 +3,7 @@
 Start with `Children`.
 """
 
+import asyncio
 import contextlib
 import json
 import os
@@ -13,6 +14,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Coroutine
 
 from pierglade.errors import PiergladeError
 
@@ -61,6 +63,7 @@
     def __init__(self):
         self.running = {}  # name: (process, file with its standard error)
         self.folder = None
+        self.task, self.stopped_by = None, None  # the asyncio task of `run`; the signal received
 
     def __enter__(self):
         self.folder = tempfile.TemporaryDirectory(prefix="pierglade-")
@@ -72,7 +75,27 @@
         # Further signals are ignored, because they must not interrupt the clean-up.
         for ignored in (signal.SIGTERM, signal.SIGINT):
             signal.signal(ignored, signal.SIG_IGN)
-        raise StoppedBySignalError(signal.Signals(number).name)
+        self.stopped_by = signal.Signals(number).name
+        if self.task is None:
+            raise StoppedBySignalError(self.stopped_by)
+        # The event loop drops what is raised during one of its callbacks, so the task is cancelled.
+        self.task.get_loop().call_soon_threadsafe(self.task.cancel)
+
+    def run(self, main: Coroutine):
+        """Runs a coroutine with asyncio and returns its result.
+
+        Raises StoppedBySignalError at SIGTERM or SIGINT, whatever the event loop is doing.
+        """
+        return asyncio.run(self._run_until_signal(main))
+
+    async def _run_until_signal(self, main):
+        self.task = asyncio.current_task()
+        try:
+            return await main
+        except asyncio.CancelledError:
+            raise StoppedBySignalError(self.stopped_by) from None
+        finally:
+            self.task = None
 
     def path(self, name: str) -> str:
         """Returns the path of a file in the temporary folder."""
