Requests sent while settings are reloaded are all served again, not rejected at times

Found: since this test, whose client asks without end, took 503 and 504 for answers "if the machine stalls", and a request sent but not answered for sent once.

Change: 200 for every request, each seen once by the backend, as it was before; limits of 9 s for the tests on sockets, which the test of large bodies shares.

--- a/tests/proxy/test_large_bodies.py
+++ b/tests/proxy/test_large_bodies.py
@@ -316,19 +316,9 @@
         self.check("large_stalled", lines)
 
 
-# Building and reading 32 MB takes the backend, a thread of the test's process, up to seconds where
-# the machine is busy. Times are not what is tested here.
-LONG = {"expectedTimeUs": 9000000, "hardLimitUs": 9000000}
-SETTINGS = {
-    **test_net.SETTINGS,
-    "offerings": [{**each, **LONG} for each in test_net.SETTINGS["offerings"]],
-}
-
-
 class LargeBodiesOnSockets(test_net.Sockets):
     """32 MB bodies both ways through a node that may buffer a few, read slowly; one ends early."""
 
-    settings = SETTINGS
     test_serves_and_stops = test_reload_moves_discovery = None
     test_settings_reload_while_clients_send_requests = None
     test_unsafe_request_in_flight_keeps_its_settings = None
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -42,6 +42,14 @@
     "contract": {"drainGraceUs": 500000},
 }
 
+LONG_SETTINGS = {
+    **SETTINGS,
+    "offerings": [
+        {**each, "expectedTimeUs": 9000000, "hardLimitUs": 9000000}
+        for each in SETTINGS["offerings"]
+    ],
+}
+
 
 def read(message_reader, data, chunk_size):
     """Returns a line for each message that a reader returns when fed `chunk_size` bytes at once.
@@ -645,7 +653,8 @@
 class Sockets(TraceTest):
     """A node in a process of its own; the tests wait for events, never for a time to pass."""
 
-    settings = SETTINGS
+    # The backend is a thread of the test's process, which may be late where the machine is busy.
+    settings = LONG_SETTINGS
 
     def setUp(self):
         self.backend = Peer(self.serve)
@@ -746,7 +755,7 @@
         """
         get = b"POST /pay/%d HTTP/1.1\r\n" + HOST + b"X-Trace-Id: %d\r\n\r\n"
         changed = {
-            **SETTINGS,
+            **LONG_SETTINGS,
             "customers": [],
             "siblings": 70,
             "membershipMode": "ask",
@@ -766,7 +775,7 @@
         for settings, until in (
             (changed, "config_reloaded"),
             (invalid, "config_rejected"),
-            (SETTINGS, "config_reloaded"),
+            (LONG_SETTINGS, "config_reloaded"),
         ):
             seen = len(self.backend.seen)
             while len(self.backend.seen) < seen + 3:
@@ -782,11 +791,9 @@
             ]
         is_running = False
         client_thread.join(20)
-        # If the machine stalls, the node may reject requests; that counts as answered.
-        successes = sum(" 200 " in line for line in answers)
-        once = successes <= len(self.backend.seen) == len(set(self.backend.seen))
-        good = all(any(f" {status} " in line for status in (200, 503, 504)) for line in answers)
-        lines.append(f"all answered {good}, each sent once {once}")
+        served = all(" 200 " in line for line in answers)
+        once = len(answers) == len(self.backend.seen) == len(set(self.backend.seen))
+        lines.append(f"all served {served}, each sent once {once}")
         self.check("net_settings", lines)
 
     def test_unsafe_request_in_flight_keeps_its_settings(self):
