Log lines carry request ids; a periodic line has memory, CPU, buffers and responses

Request, attempt and close lines now have request_id; 'resources' (every 2 s while in use) has resident memory, buffered bytes, CPU share, connections by state, and responses by status with the first reason of each 4xx.

--- a/pierglade/config/logged.py
+++ b/pierglade/config/logged.py
@@ -66,35 +66,50 @@
     "request_rejected": (
         "info",
         "a request got a 503 response: it was not executed, or is safe to retry",
-        "request_class, attempts, latency_ms, deadline_ms, outcomes",
+        "request_class, attempts, latency_ms, deadline_ms, outcomes, request_id",
     ),
     "request_failed": (
         "warning",
         "a request got a 504 response: it may have been executed",
-        "request_class, attempts, latency_ms, deadline_ms, outcomes",
+        "request_class, attempts, latency_ms, deadline_ms, outcomes, request_id",
     ),
     "request_succeeded": (
         "info",
         "a request succeeded late or with more than one attempt; other successes are not logged",
-        "request_class, attempts, latency_ms, backend",
+        "request_class, attempts, latency_ms, backend, request_id",
     ),
     "client_error": (
         "info",
         "the backend rejected the request as faulty",
-        "request_class, attempts, latency_ms, backend",
+        "request_class, attempts, latency_ms, backend, request_id",
     ),
     "attempt_failed": (
         "warning",
         "an attempt failed",
-        "backend, reason, outcome, or backend, status, unexecuted",
+        "backend, reason, outcome, request_id, or backend, status, unexecuted, request_id",
     ),
     "deadline_overrun": (
         "error",
         "a request was still pending 2.5 ms before its deadline and failed; a bug in pierglade",
-        "",
+        "request_id",
+    ),
+    "downstream_closed": (
+        "debug",
+        "a connection from a client was closed; `request_id` where a request was pending",
+        "reason, state, request_id",
+    ),
+    "upstream_closed": (
+        "debug",
+        "a connection to a backend was closed; `request_id` where an attempt was on it",
+        "reason, backend, state, request_id",
+    ),
+    "resources": (
+        "info",
+        "what the process uses, every 2 s while it is in use: resident memory, buffered bodies, "
+        "share of one core, ids in use, connections by state, responses by status since the last "
+        "such line, and the first reason of each 4xx status",
+        "memory_mb, buffered_kb, cpu_ratio, recent_ids, downstream, upstream, responses, reasons",
     ),
-    "downstream_closed": ("debug", "a connection from a client was closed", "reason, state"),
-    "upstream_closed": ("debug", "a connection to a backend was closed", "reason, backend, state"),
     "load_shed": (
         "warning",
         "the node is short of CPU; number of requests rejected unread within a second",
--- a/pierglade/proxy/downstream.py
+++ b/pierglade/proxy/downstream.py
@@ -57,6 +57,7 @@
             server.prepared_rejection,
         )
         self.server, self.admission_queue, self.address = server, server.admission_queue, address
+        self.monitor = server.monitor
         # The ConnectionAdmission that admitted the connection; None: there are no limits.
         self.admission = server.state_machine.descriptors.admission
         self.now = server.clock.now
@@ -152,6 +153,7 @@
         if not rejection:
             return False
         self.requests.skip()
+        self.monitor.rejections_sent()
         if socket_io.send_now(self.sock, rejection, b""):
             raise BrokenPipeError(0, "the client does not read the rejection")
         return True
@@ -247,6 +249,7 @@
         self._release_request()
         if self.admission is not None and head[9:12] in MALFORMED_STATUSES:
             self.admission.record_fault(self.now(), self.address)
+        self.monitor.response_sent(head, b"" if isinstance(body, BodyStream) else body)
         if isinstance(body, BodyStream):
             self.is_streaming_response = True
             gevent.spawn(self._stream_body, head, body, close_after, chunked)
--- a/pierglade/proxy/server.py
+++ b/pierglade/proxy/server.py
@@ -20,6 +20,7 @@
 from pierglade.proxy.listener import Listener
 from pierglade.proxy.logging import Log
 from pierglade.proxy.management import MAX_CONNECTIONS, ManagementServer
+from pierglade.proxy.process_monitor import ProcessMonitor
 from pierglade.proxy.state.connections import CloseCause
 from pierglade.proxy.state.constants import NEVER
 from pierglade.proxy.state.effects import (
@@ -85,6 +86,7 @@
         if self.is_sole_process:
             self.listener.listen()
         self.exit_requested = Event()
+        self.monitor = ProcessMonitor(self)
         self.timer = Timer(self.clock, self._timer_fired)
         self._make_machine(config)
         self._restore(config)
@@ -167,6 +169,7 @@
             gevent.signal_handler(signal_number, self._stop)
         gevent.signal_handler(signal.SIGHUP, self._reload, reload_config)
         self.spawn(self.discovery.run)
+        self.spawn(self.monitor.run)
         if self.management:
             self.spawn(self.management.run)
         if self.snapshot_writer:
--- a/pierglade/proxy/state/attempts.py
+++ b/pierglade/proxy/state/attempts.py
@@ -111,9 +111,9 @@
         """Closes the attempt's connection, so that nothing more is sent and no response is read."""
         connection = self.connections.get(attempt)
         if connection is not None:
-            connection.attempt = None
-            attempt.request.caller_context.last_abort_at = self.step.now
-            self.upstream.close(connection, reason)
+            client, connection.attempt = attempt.request.caller_context, None
+            client.last_abort_at = self.step.now
+            self.upstream.close(connection, reason, client.request_id)
 
     def send(self, attempt):
         """Sends an attempt on an idle connection, or on a new one."""
--- a/pierglade/proxy/state/connections.py
+++ b/pierglade/proxy/state/connections.py
@@ -89,6 +89,11 @@
         self.passed_shedding = False  # whether its request was admitted before it was parsed
         self.known = False  # whether its address has priority over unknown ones
 
+    @property
+    def request_id(self) -> str | None:
+        """The trace id of the pending request, as text for the log; None if there is none."""
+        return self.id.decode("latin-1") if self.id else None
+
 
 class UpstreamConnection:
     """A connection to a backend and the attempt or health check on it."""
@@ -125,6 +130,11 @@
         )
         self.since = 0  # when it was opened or became idle
 
+    @property
+    def request_id(self) -> str | None:
+        """The trace id of the request whose attempt is on it; None if there is none."""
+        return self.attempt.request.caller_context.request_id if self.attempt else None
+
     def expect_response(self):
         """Clears what is known of the response being read: the next piece begins another one."""
         self.response_began_at = 0  # when its first piece arrived; 0: none has
--- a/pierglade/proxy/state/downstream.py
+++ b/pierglade/proxy/state/downstream.py
@@ -179,7 +179,7 @@
 
     def _deadline_overrun(self, client):
         """Answers at the deadline even if a bug prevented any other response."""
-        self.step.log("deadline_overrun")
+        self.step.log("deadline_overrun", request_id=client.request_id)
         client.request.owner.client_disconnected(self.step.now, client.request)
         self.respond_without_backend(client.request, may_retry=False)
 
@@ -258,7 +258,9 @@
         del self.by_state[client.state][client]
         self.descriptors.open_count -= 1
         self.descriptors.cancel_close(client)
-        self.step.log("downstream_closed", reason=reason, state=client.state)
+        self.step.log(
+            "downstream_closed", reason=reason, state=client.state, request_id=client.request_id
+        )
         client.state = CLOSED
         self._release_request(client)
         if client.source is not None:
@@ -275,6 +277,7 @@
             latency_ms=(self.step.now - request.arrived_at) / 10,
             deadline_ms=(request.deadline - request.arrived_at) / 10,
             outcomes=[attempt.outcome and attempt.outcome.value for attempt in request.attempts],
+            request_id=request.caller_context.request_id,
         )
         self.counters.count(event)
         if may_retry:
--- a/pierglade/proxy/state/responses.py
+++ b/pierglade/proxy/state/responses.py
@@ -118,6 +118,7 @@
                 attempts=len(request.attempts),
                 latency_ms=(self.step.now - request.arrived_at) / 10,
                 backend=connection.backend.name,
+                request_id=request.caller_context.request_id,
             )
         client, headers = request.caller_context, http.forwarded_headers(message, WITHHELD_HEADERS)
         if message.body_stream is None:
@@ -135,6 +136,7 @@
             backend=connection.backend.name,
             status=message.status,
             unexecuted=never_ran,
+            request_id=attempt.request.caller_context.request_id,
         )
         self.attempts.report_outcome(
             attempt, Outcome.REJECTED_UNPROCESSED if never_ran else Outcome.SERVER_ERROR
--- a/pierglade/proxy/state/upstream.py
+++ b/pierglade/proxy/state/upstream.py
@@ -222,14 +222,18 @@
             attempt.request.caller_context.last_abort_at = self.step.now
         outcome = _outcome(cause, request_written)
         self.step.log(
-            "attempt_failed", backend=connection.backend.name, reason=reason, outcome=outcome.value
+            "attempt_failed",
+            backend=connection.backend.name,
+            reason=reason,
+            outcome=outcome.value,
+            request_id=connection.request_id,
         )
         self.attempts.report_outcome(attempt, outcome)
         # Only now, so that `recover_from_fault` finds its client.
         connection.attempt = None
 
-    def close(self, connection, reason):
-        """Closes a connection at once."""
+    def close(self, connection, reason, request_id=None):
+        """Closes a connection at once; `request_id`: of an attempt detached just before."""
         del self.by_state[connection.state][connection]
         backend = connection.backend
         self.descriptors.open_count -= 1
@@ -244,6 +248,7 @@
             reason=reason,
             backend=connection.backend.name,
             state=connection.state,
+            request_id=request_id or connection.request_id,
         )
         connection.closed_while_busy, connection.state = connection.state is BUSY, CLOSED
         if connection.receiver is not None:
--- a/tests/support/scene.py
+++ b/tests/support/scene.py
@@ -213,7 +213,7 @@
                 fields = (
                     f"{key}={value}"
                     for key, value in effect.fields.items()
-                    if not key.endswith("ms")
+                    if not key.endswith("ms") and key != "request_id"
                 )
                 self.record(" ".join(["log", effect.event, *fields]))
                 continue
