A response that has begun is not cut off at a pause; of unknown length, it is streamed

Callers saw 503 or 504 where servers had begun a large answer: the node closed the connection 200 ms after the head (BODY_START_TIMEOUT), at a pause of 100 ms, at the deadline, or when the attempt was cancelled as slow, unless 32 kB/s had come by then. The rate of the first bytes does not tell a late body from one that never comes. Now a 200 of unknown length is held for 1 s at most or to the deadline, then streamed. One that has not gone on 350 ms after its deadline (under 4 kB/s and 64 kB in all) is reset, so that the client knows in time. A head, or a small body with a length, may pause for 1 s (unsafe) or half of the time to the latency objective (where a retry is possible). Rejected: a longer time to the first piece, which fits this case alone.

--- a/pierglade/proxy/state/attempts.py
+++ b/pierglade/proxy/state/attempts.py
@@ -78,8 +78,7 @@
                     self.send(attempt)
                 case CancelAttempt(attempt):
                     if attempt.outcome is None:
-                        self.abort(attempt, "cancelled")
-                        self.report_outcome(attempt, Outcome.CANCELLED)
+                        self._cancel(attempt)
                 case CheckHealth(backend):
                     self.counters.count("health_checks")
                     self.health_checks.start(balancer.endpoint_name(backend))
@@ -94,6 +93,18 @@
                             request, type(decision) is RejectRequest
                         )
 
+    def _cancel(self, attempt):
+        """Cancels an attempt, unless its response has begun: that one is streamed from now on."""
+        connection = self.connections.get(attempt)
+        if (
+            connection is not None
+            and not attempt.request.completed
+            and self.upstream.may_stream_response(connection)
+        ):
+            return self.upstream.stream_response(connection)
+        self.abort(attempt, "cancelled")
+        self.report_outcome(attempt, Outcome.CANCELLED)
+
     def report_outcome(self, attempt, outcome, answered=False):
         """Reports an attempt's outcome to its balancer; `answered`: if the backend responded."""
         self.connections.pop(attempt, None)
--- a/pierglade/proxy/state/connections.py
+++ b/pierglade/proxy/state/connections.py
@@ -106,6 +106,10 @@
         "closed_while_busy",
         "io",
         "is_health_check",
+        "is_open_ended",
+        "is_streamed_early",
+        "proof_due_at",
+        "proved_at",
         "receiver",
         "response_began_at",
         "response_piece_due_at",
@@ -113,7 +117,6 @@
         "state",
         "timer",
         "timer_queued_at",
-        "unsized_body_bytes",
     )
 
     def __init__(self, backend):
@@ -139,9 +142,12 @@
         """Clears what is known of the response being read: the next piece begins another one."""
         self.response_began_at = 0  # when its first piece arrived; 0: none has
         self.response_piece_due_at = 0  # when its next piece is due; 0: no piece is
-        # Bytes read of a body that could be streamed from now on, as its length is known only at
-        # its end; None where it can't.
-        self.unsized_body_bytes = None
+        # Whether its body could be streamed from now on, as its length is known only at its end.
+        self.is_open_ended = False
+        self.is_streamed_early = False  # whether that was done while the body was small
+        # When a body that is streamed early must have turned out to go on, and when that was
+        # checked; 0: not at all.
+        self.proof_due_at = self.proved_at = 0
 
 
 class EndpointRecord:
--- a/pierglade/proxy/state/responses.py
+++ b/pierglade/proxy/state/responses.py
@@ -2,22 +2,29 @@
 
 from pierglade.model.endpoint import LoadReportSource
 from pierglade.model.outcome import Outcome
+from pierglade.model.request import Idempotency
 from pierglade.proxy.http import message as http
 from pierglade.proxy.state.connections import (
     BUSY,
     CLOSED,
     IDLE,
 )
-from pierglade.proxy.state.effects import StreamResponse
 
 # Times are tenths of a millisecond.
-RESPONSE_PIECE_TIMEOUT = 1000  # 100 ms; between two pieces, as a malformed response may never end
-# 200 ms; from the head to the first pieces of a body of unknown length, as some backends send the
-# head before they have the body
-BODY_START_TIMEOUT = 2000
-# 1 s; how long a large response is held back at most, so that it can still be replaced
+# 1 s; between two pieces of a head, or of a small body whose length is known: the response may be
+# malformed and never end
+RESPONSE_PIECE_TIMEOUT = 10000
+MAX_TIME_LEFT_RATIO = 0.5  # of the time to the latency objective; the rest is for a retry
+# 1 s; how long a response of unknown length is held back at most, so that it can still be replaced
 MAX_RESPONSE_HOLD = 10000
 STREAM_PIECE_TIMEOUT = 50000  # 5 s; between two pieces of a response that is being streamed
+# 350 ms; after its deadline, in which a streamed response of unknown length must turn out to go on;
+# a response counts as lost 500 ms after the deadline
+MAX_OVERTIME = 3500
+# Bytes per tick (4 kB/s): a sixteenth of the rate of slow backends. A body of unknown length that
+# has arrived more slowly by then is taken for one that never ends.
+MIN_STREAM_RATE = 0.4
+SMALL_BODY_BYTES = 65536  # a response of up to this size is late if its last byte is
 # Response headers that are not forwarded, as only the balancer needs them.
 WITHHELD_HEADERS = http.HOP_BY_HOP | {b"endpoint-load-metrics"}
 
@@ -37,36 +44,64 @@
         """Restarts the timeout for the next piece of a response; its reader bounds its size.
 
         A response of unknown length is buffered at first, so that the request can be sent again if
-        the response breaks off. A large one that is written slowly is streamed from some time on.
+        the response breaks off. After some time it is streamed, as its backend may be writing a
+        large one slowly.
         """
         if connection.body_stream is not None:
-            self.timers.set_timer(
-                connection, self.step.now + STREAM_PIECE_TIMEOUT, self._stream_stalled
-            )
+            self._restart_stream_timeout(connection)
         elif connection.state is BUSY:
             connection.response_began_at = connection.response_began_at or self.step.now
-            connection.unsized_body_bytes = unsized_body_bytes
-            if (
-                self.step.now >= connection.response_began_at + MAX_RESPONSE_HOLD
-                and self.upstream.may_stream_response(connection)
-            ):
-                return self.step.emit(StreamResponse(connection))
-            connection.response_piece_due_at = self.step.now + RESPONSE_PIECE_TIMEOUT
-            if unsized_body_bytes is not None:
-                connection.response_piece_due_at = max(
-                    connection.response_piece_due_at,
-                    connection.response_began_at + BODY_START_TIMEOUT,
-                )
+            connection.is_open_ended = unsized_body_bytes is not None
+            if self.upstream.may_stream_response(connection):
+                stream_at = connection.response_began_at + MAX_RESPONSE_HOLD
+                if self.step.now >= stream_at:
+                    return self.upstream.stream_response(connection)
+                connection.response_piece_due_at = stream_at
+            else:
+                connection.response_piece_due_at = self.step.now + self._piece_timeout(connection)
             self.upstream.restart_timeout(connection)
 
-    def _stream_stalled(self, connection):
-        if connection.body_stream.full():
-            # The client reads slowly; its connection has a timeout of its own.
-            return self.part_received(connection)
+    def _piece_timeout(self, connection):
+        """Returns how long to wait for the next piece of a response that is not streamed."""
+        attempt = connection.attempt
+        if attempt is None or attempt.request.request_class.idempotency == Idempotency.UNSAFE:
+            return RESPONSE_PIECE_TIMEOUT  # No retry is possible, so nothing is gained by haste.
+        request = attempt.request
+        aim = request.objective_at if self.step.now < request.objective_at else request.deadline
+        time_left = int(MAX_TIME_LEFT_RATIO * (aim - self.step.now))
+        return max(1, min(RESPONSE_PIECE_TIMEOUT, time_left))
+
+    def _restart_stream_timeout(self, connection):
+        if self.step.now < connection.proof_due_at:
+            moment = connection.proof_due_at
+        elif self._is_endless(connection):
+            return self.upstream.close(connection, "endless answer")
+        else:
+            moment = self.step.now + STREAM_PIECE_TIMEOUT
+        self.timers.set_timer(connection, moment, self._stream_timed_out)
+
+    def _stream_timed_out(self, connection):
+        # While the client reads slowly, the body stands still; its connection has a timeout of its
+        # own.
+        if connection.body_stream.full() or connection.proof_due_at > connection.proved_at:
+            connection.proved_at = self.step.now
+            return self._restart_stream_timeout(connection)
         self.upstream.close(connection, "stalled")
 
+    def _is_endless(self, connection):
+        """Returns whether a small body of unknown length has nearly stopped arriving."""
+        body = connection.body_stream
+        duration = self.step.now - connection.response_began_at
+        return (
+            connection.proof_due_at
+            and not body.full()
+            and body.size <= SMALL_BODY_BYTES
+            and body.size < MIN_STREAM_RATE * duration
+        )
+
     def received(self, connection, message):
         """Handles a response that is complete, or whose body is streamed from now on."""
+        began_at, is_streamed_early = connection.response_began_at, connection.is_streamed_early
         connection.expect_response()
         if connection.state is IDLE:
             # The response is unsolicited. If the connection were reused, it would be mistaken for
@@ -85,7 +120,11 @@
                 self.health_checks.load_reported(
                     connection, message.fields.get(b"endpoint-load-metrics", b"")
                 )
+            attempt = connection.attempt
             if self._attempt_answered(connection, message):
+                if is_streamed_early:
+                    connection.response_began_at = began_at
+                    connection.proof_due_at = attempt.request.deadline + MAX_OVERTIME
                 return self.part_received(connection)
         # A body that no client waits for would block the connection.
         self.upstream.release(connection, message.is_reusable and message.body_stream is None)
--- a/pierglade/proxy/state/upstream.py
+++ b/pierglade/proxy/state/upstream.py
@@ -17,7 +17,6 @@
 from pierglade.proxy.state.constants import (
     DEADLINE_MARGIN,
     LIVE_PATH,
-    MIN_BODY_RATE,
     NEVER,
     STATS_PATH,
 )
@@ -84,15 +83,13 @@
         self.timers.set_timer(connection, moment, self._timed_out)
 
     def may_stream_response(self, connection):
-        """Returns whether the response being read is a large one whose body can be streamed.
+        """Returns whether the response being read has a body of unknown length for a client."""
+        return connection.attempt is not None and connection.is_open_ended
 
-        Malformed responses that never end have arrived at a lower rate than large ones.
-        """
-        size = connection.unsized_body_bytes
-        duration = self.step.now - connection.response_began_at
-        return (
-            connection.attempt is not None and size is not None and size >= MIN_BODY_RATE * duration
-        )
+    def stream_response(self, connection):
+        """Streams the body of the response being read from now on."""
+        connection.is_streamed_early = True
+        self.step.emit(StreamResponse(connection))
 
     def _timed_out(self, connection):
         attempt = connection.attempt
@@ -101,7 +98,7 @@
         elif connection.state is CONNECTING:
             self.disconnected(connection, CloseCause.CONNECT_FAILED, False, "connect time-out")
         elif self.may_stream_response(connection):
-            self.step.emit(StreamResponse(connection))
+            self.stream_response(connection)
         elif attempt is not None and self.step.now >= attempt.timeout_at - DEADLINE_MARGIN:
             self.attempts.abort(attempt, "timed out")
             self.attempts.report_outcome(attempt, Outcome.TIMEOUT)
