A request that its backend reads slowly is answered in its time

Callers got the final answer 1 to 5 s after their time: the time of a streamed request counted from when the node had read its last byte, but a paused reader does so seconds after the client has written it into the kernels' buffers. Now the time counts from the last moment at which the client certainly was not done: a read that found nothing, with the window open for 50 ms, or more bytes missing than both kernels hold. Past that time the attempt is ended (its last byte was not written, so it has not run) and the request is rejected; the deadline told to the backend counts from the same moment. Receive buffers of clients are fixed at 128 kB (256 with the kernel's overhead), as a bound for this.

--- a/pierglade/proxy/downstream.py
+++ b/pierglade/proxy/downstream.py
@@ -37,6 +37,11 @@
 MAX_DISCARD_BYTES = 1 << 20
 # The same limit for a response that was sent before its request was complete.
 MAX_UPLOAD_DISCARD_BYTES = 1 << 25
+# Bytes of a body that may be on their way, in the buffers of both kernels: 4 MB is the largest send
+# buffer of a Linux socket by default. While more are missing, the client is still sending.
+MAX_BYTES_IN_TRANSIT = (1 << 22) + 2 * socket_io.RECEIVE_BUFFER_BYTES
+# Ticks (50 ms). Time in which the client's kernel sends what it has once this side reads again.
+MAX_SEND_DELAY = 500
 # Statuses sent for a malformed or incomplete request.
 MALFORMED_STATUSES = (b"400", b"408", b"413", b"431")
 DISCARD_BUFFER = memoryview(bytearray(65536))  # shared by all connections
@@ -75,6 +80,12 @@
         # Returns when data read now is likely to have arrived.
         self.arrival_time = server.arrival_time
         self.received = 0  # bytes read in all
+        self.loop_monitor = server.loop_monitor
+        # When the client had certainly not sent all of its current request (ticks).
+        self.incomplete_at = self.loop_monitor.arrived_at
+        # Since when the client's kernel could send all that it had (ticks). None: reading was
+        # paused, and what came meanwhile is not read yet.
+        self.window_open_since = 0
         # (bytes read by then, time) of reads while requests wait behind the current one.
         self.pipelined_reads = deque()
         socket_io.set_up(sock)
@@ -95,6 +106,7 @@
                     and not self.is_discarding
                 ):
                     # The body is written upstream more slowly than the client sends it.
+                    self.window_open_since = None
                     self.read_resumed.clear()
                     self.read_resumed.wait()
                     continue
@@ -105,7 +117,7 @@
                     self.read_resumed.clear()
                     self.read_resumed.wait()
                     continue
-                byte_count = self.sock.recv_into(buffer)
+                byte_count = self._receive(buffer)
                 if not byte_count:
                     break
                 if not self.is_discarding:
@@ -124,15 +136,37 @@
             self._abort_body()
         self.handle_event(ClientDisconnected(self.client, reason))
 
+    def _receive(self, buffer):
+        """Reads into `buffer`; notes when nothing was left to read, as the client was not done.
+
+        After a pause, what the client has sent may still be in its own kernel when the buffer of
+        this side is empty for a moment.
+        """
+        polled_ns, body = self.loop_monitor.poll_ended_ns, self.body_stream
+        open_since = self.now() if self.window_open_since is None else self.window_open_since
+        if body is not None:
+            body.awaited_from = open_since + MAX_SEND_DELAY
+        byte_count = self.sock.recv_into(buffer)
+        if body is not None:
+            body.awaited_from = None
+        if self.loop_monitor.poll_ended_ns != polled_ns:
+            self.window_open_since = open_since
+            arrived_at = self.loop_monitor.arrived_at
+            if arrived_at >= open_since + MAX_SEND_DELAY:
+                self.incomplete_at = arrived_at
+        elif not self.requests.has_begun() and body is None:
+            self.incomplete_at = self.loop_monitor.arrived_at  # A request begins with this read.
+        return byte_count
+
     def _handle_read(self, byte_count):
         """Handles `byte_count` bytes that were read; returns whether the connection is open."""
         self.requests.filled(byte_count)
         self.received += byte_count
         if self.server.state_machine.balancers.load_shedder.threshold and self._reject_unparsed():
             return True
-        arrived_at = NEVER
+        arrived_at = self.incomplete_at
         if self.admission_queue.full():
-            arrived_at = self.arrival_time()
+            arrived_at = min(arrived_at, self.arrival_time())
             self.admission_queue.wait(self.address, byte_count, self.is_known)
             if self.client.io is None:
                 return False  # This side has closed the connection during the wait.
@@ -206,13 +240,20 @@
         """Buffers a body, as its sender may be slow; streams it if size or budget forbid that."""
         body, requests = self.body_stream, self.requests
         body.add(requests.piece())
+        body.incomplete_at = (
+            self.loop_monitor.arrived_at
+            if requests.pieces is None and requests.remaining > MAX_BYTES_IN_TRANSIT
+            else self.incomplete_at
+        )
         if requests.body_complete:
             body.finish()
         if self.is_announced:
             self.handle_event(BodyReceived(self.client))
         elif requests.body_complete or not self._buffers_whole():
             self.is_announced = True
-            self.handle_event(RequestReceived(self.client, self.message))
+            self.handle_event(
+                RequestReceived(self.client, self.message), arrived_at=body.incomplete_at
+            )
         else:
             self.handle_event(RequestStarted(self.client, body.size))
         if requests.body_complete:
--- a/pierglade/proxy/http/body_stream.py
+++ b/pierglade/proxy/http/body_stream.py
@@ -48,6 +48,9 @@
         self.pieces, self.buffered_bytes, self.size = deque(), 0, 0
         self.is_complete = self.is_aborted = False  # read to its end; aborted
         self.is_partly_taken = False  # whether pieces were taken, which discards them
+        # When the sender had certainly not sent all of it yet (ticks); and from when on a read that
+        # waits for more shows that it still has not. None: no read is waiting.
+        self.incomplete_at, self.awaited_from = 0, None
 
     def wake(self):
         """Calls all callbacks in `wakes`."""
@@ -88,6 +91,14 @@
             return piece
         return None if self.is_complete or self.is_aborted else b""
 
+    def last_incomplete_at(self, now: int) -> int:
+        """Returns when the sender had certainly not sent the whole body yet, `now` at the latest.
+
+        While the body is not read because its receiver is slow, the sender may have finished.
+        """
+        is_sending = self.awaited_from is not None and now >= self.awaited_from
+        return now if is_sending else self.incomplete_at
+
     def is_not_repeatable(self) -> bool:
         """Returns whether a retry cannot send the body, as pieces were taken or it was aborted."""
         return self.is_partly_taken or self.is_aborted
--- a/pierglade/proxy/listener.py
+++ b/pierglade/proxy/listener.py
@@ -22,6 +22,8 @@
     def __init__(self, address: str, server):
         self.server = server
         self.sock = socket_io.bind_socket(address, shared=True)
+        # Connections inherit the size when they are accepted.
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, socket_io.RECEIVE_BUFFER_BYTES)
         self.open = False
 
     def address(self) -> str:
--- a/pierglade/proxy/socket_io.py
+++ b/pierglade/proxy/socket_io.py
@@ -16,6 +16,9 @@
 # Limit on the kernel's send buffer: with megabytes in it, a slow reader could not be distinguished
 # from one that has stopped reading.
 SEND_BUFFER_BYTES = 1 << 17
+# Receive buffer of a client's connection; the kernel doubles it. Without a limit it grows to
+# megabytes, in which the end of a connection can hide behind unread requests.
+RECEIVE_BUFFER_BYTES = 1 << 17
 CLOSED_STATES = (7, 8)  # TCP_CLOSE, TCP_CLOSE_WAIT: the first byte of tcp_info, since Linux 2.4
 BPF_RETURN = 0x06  # BPF_RET | BPF_K, the only instruction of the filter
 # Index of the newer of two sockets that share an address. If there is only one socket, the kernel
--- a/pierglade/proxy/state/attempts.py
+++ b/pierglade/proxy/state/attempts.py
@@ -198,7 +198,8 @@
         if flow is not None:
             length, body = flow.size if flow.is_complete else flow.length, flow
             if not flow.is_complete:
-                time_left = request.deadline - request.arrived_at - DEADLINE_MARGIN
+                elapsed = self.step.now - flow.last_incomplete_at(self.step.now)
+                time_left = request.deadline - request.arrived_at - DEADLINE_MARGIN - elapsed
         headers.append((b"X-Expires-In-Ms", b"%d" % max(1, time_left // 10)))
         method = b"GET" if message.method == b"HEAD" else message.method
         head = http.request_head(method, http.target(message.url), headers, length)
--- a/pierglade/proxy/state/connections.py
+++ b/pierglade/proxy/state/connections.py
@@ -56,6 +56,7 @@
     """A client's connection and its pending request."""
 
     __slots__ = (
+        "body_checked_at",
         "body_size_at_last_check",
         "head_received_at",
         "id",
@@ -83,7 +84,8 @@
         self.last = False  # whether it is closed after its next response
         self.is_closing = False  # whether a close was requested; unread bytes are still handled
         self.head_received_at = 0  # when the head of the current request was complete
-        self.body_size_at_last_check = -1  # bytes
+        # When it was last checked that the body goes on, and its bytes by then.
+        self.body_checked_at, self.body_size_at_last_check = 0, -1
         self.source = None  # the upstream connection whose response is being streamed to it
         self.last_abort_at = 0  # when the proxy last aborted an attempt of its request
         self.passed_shedding = False  # whether its request was admitted before it was parsed
--- a/pierglade/proxy/state/downstream.py
+++ b/pierglade/proxy/state/downstream.py
@@ -111,10 +111,42 @@
     def _sends_too_slowly(self, client):
         self.refuse(client, 408, last=True)
 
-    def await_body(self, client, timeout):
-        """Expects more of a request body within `timeout` ticks."""
+    def await_body(self, client):
+        """Expects more of a request body within BODY_TIMEOUT."""
         client.body_size_at_last_check = client.message.body_stream.size
-        self.timers.set_timer(client, self.step.now + timeout, self._body_stalled)
+        client.body_checked_at = self.step.now
+        self._set_body_timer(client)
+
+    def _set_body_timer(self, client):
+        moment = min(client.body_checked_at + BODY_TIMEOUT, self._upload_deadline(client))
+        self.timers.set_timer(client, moment, self._body_timed_out)
+
+    def _upload_deadline(self, client):
+        """Returns by when a request must be answered whose body was not read to its end.
+
+        Its backend may be reading it slowly while the client has sent it all and waits.
+        """
+        request, body = client.request, client.message.body_stream
+        timeout = request.deadline - request.arrived_at
+        return body.last_incomplete_at(self.step.now) + timeout - DEADLINE_MARGIN
+
+    def _body_timed_out(self, client):
+        if self.step.now >= self._upload_deadline(client):
+            return self._upload_too_late(client)
+        if self.step.now >= client.body_checked_at + BODY_TIMEOUT:
+            return self._body_stalled(client)
+        return self._set_body_timer(client)
+
+    def _upload_too_late(self, client):
+        """Ends an upload whose client can't be answered in time any more."""
+        request = client.request
+        # The safety net, should the balancer decide on no final answer.
+        self.timers.set_timer(client, self.step.now + 1, self._deadline_overrun)
+        for attempt in request.attempts:
+            if attempt in self.attempts.connections:
+                self.attempts.abort(attempt, "request body read too slowly")
+                # The request's last byte was not written, so the backend has not executed it.
+                self.attempts.report_outcome(attempt, Outcome.CONNECT_FAILED)
 
     def _body_stalled(self, client):
         """Ends a stalled upload; the client is at fault unless the buffer of the body is full."""
@@ -133,10 +165,14 @@
                     self.attempts.report_outcome(attempt, Outcome.CONNECT_FAILED)
             if client.request is not request:
                 return
-        self.await_body(client, BODY_TIMEOUT)
+        self.await_body(client)
 
     def body_received(self, client):
-        """Restarts the deadlines of a request when the last byte of its body has arrived."""
+        """Restarts the deadlines of a request when the last byte of its body has arrived.
+
+        The request's time counts from when the client may have sent that byte, which is earlier
+        than it was read if the backend was slow to take what came before it.
+        """
         request = client.request
         if (
             request is None
@@ -144,7 +180,7 @@
             or not client.message.body_stream.is_complete
         ):
             return
-        waited = self.step.now - request.arrived_at
+        waited = max(0, client.message.body_stream.incomplete_at - request.arrived_at)
         request.arrived_at += waited
         request.objective_at += waited
         request.deadline += waited
--- a/pierglade/proxy/state/requests.py
+++ b/pierglade/proxy/state/requests.py
@@ -16,7 +16,7 @@
     LOG_INTERVAL,
     READY_PATH,
 )
-from pierglade.proxy.state.downstream import BODY_TIMEOUT, CLIENT_IDLE_TIMEOUT
+from pierglade.proxy.state.downstream import CLIENT_IDLE_TIMEOUT
 from pierglade.settings.platform import floor_ticks
 
 # Times are tenths of a millisecond.
@@ -177,7 +177,7 @@
         if message.body_stream is None or message.body_stream.is_complete:
             self.downstream.await_response(client)
         else:
-            self.downstream.await_body(client, BODY_TIMEOUT)
+            self.downstream.await_body(client)
         self.balancers.current.request_received(self.step.now, request)
 
     def _tenant(self, name):
--- a/tests/proxy/test_large_bodies.py
+++ b/tests/proxy/test_large_bodies.py
@@ -35,6 +35,7 @@
     )
     received.body_stream = body_stream.BodyStream(size)
     received.body_stream.add(b"x" * 100)
+    received.body_stream.awaited_from = 0  # the client is still sending, and its reader waits
     harness.handle_event(RequestReceived(harness.clients[name], received))
     return received.body_stream
 
@@ -88,6 +89,7 @@
             body.take()
             harness.handle_event(BodyReceived(harness.clients["c0"]))
         body.finish()
+        body.incomplete_at = harness.now
         harness.handle_event(BodyReceived(harness.clients["c0"]))
         harness.record("whole")
         harness.after(1500)
@@ -168,6 +170,7 @@
                 body.take()
             else:
                 body.add(b"x" * body_stream.WINDOW)
+                body.incomplete_at, body.awaited_from = harness.now, None  # reading is paused
             harness.lines = [f"backend reads the body {reads}"]
             harness.after(5000)
             lines += [
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -499,6 +499,7 @@
     return mock.Mock(
         handle_event=handle_event,
         arrival_time=arrived_at,
+        loop_monitor=mock.Mock(poll_ended_ns=0, arrived_at=NEVER),
         budget=BufferBudget(1 << 20),
         prepared_rejection=lambda *arguments: None,
         state_machine=mock.Mock(
