A failed accept while the listener is closed does not reset the connections behind it

Clients that had connected within 0.4 s of SIGTERM saw a reset, and their requests were lost: any error of accept ended the loop that takes what the kernel has accepted before the socket is closed. Now only its end does; 1,000 failures are the bound. ECONNABORTED, EPROTO and EINTR concern one connection, so the next is accepted without a pause.

--- a/pierglade/proxy/listener.py
+++ b/pierglade/proxy/listener.py
@@ -1,5 +1,7 @@
 """The listening socket: accepts every downstream connection, and admits or rejects it."""
 
+import errno
+
 import gevent
 from gevent import socket
 
@@ -10,6 +12,9 @@
 # Connections accepted per turn of the event loop, unless file descriptors are scarce.
 MAX_ACCEPTS_PER_TURN = 64
 RETRY_DELAY_S = 0.01  # delay after a failed accept, for descriptors to become free
+MAX_FAILURES_AT_CLOSE = 1000  # of accept as the socket is closed; a permanent failure must end
+# Failures of one connection, not of this process: the next one is accepted at once.
+CONNECTION_ERRORS = (errno.ECONNABORTED, errno.EPROTO, errno.EINTR)
 TOO_MANY_CONNECTIONS = (
     b"HTTP/1.1 429 Too Many Requests\r\nRetry-After: 5\r\nContent-Type: text/plain\r\n"
     b"Content-Length: 35\r\nConnection: close\r\n\r\ntoo many connections from this side\n"[:-1]
@@ -44,7 +49,7 @@
             try:
                 sock, address = self.sock.accept()
             except OSError as error:
-                if self.open:
+                if self.open and error.errno not in CONNECTION_ERRORS:
                     self.server.note("accept_failed", error=error.strerror)
                     gevent.sleep(RETRY_DELAY_S)
                 continue
@@ -84,10 +89,15 @@
         """Stops listening; connections that the kernel has accepted by now are still served."""
         self.open = False
         self.sock.setblocking(False)
-        while True:
+        failures = 0
+        while failures < MAX_FAILURES_AT_CLOSE:
             try:
                 sock, address = self.sock.accept()
+            except BlockingIOError:
+                break  # No connection is left.
             except OSError:
-                break
+                # The next connections may be sound, and closing the socket would reset them.
+                failures += 1
+                continue
             self._admit(sock, address)
         self.sock.close()
