--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -25,7 +25,12 @@
 
     def __init__(self, connection, handle_event: Callable):
         self.connection, self.handle_event = connection, handle_event
-        self.sock = socket.socket()
+        # Why no socket could be made, if so; `sock` is None then.
+        self.socket_error = None
+        try:
+            self.sock = socket.socket()
+        except OSError as error:
+            self.sock, self.socket_error = None, error
         self.responses = ResponseReader()
         # Whether the connection has been idle or has carried a response since it was established.
         self.is_reused = False
@@ -45,6 +50,8 @@
 
     def _run(self):
         try:
+            if self.socket_error is not None:
+                raise self.socket_error
             host, _, port = self.connection.address.rpartition(":")
             self.sock.connect((host, int(port)))
             socket_io.set_up(self.sock)
@@ -291,6 +298,8 @@
         """Ends the connection at once."""
         self._abort_body()
         self.read_resumed.set()
+        if self.sock is None:
+            return
         if self.connection.closed_while_busy:
             # The client has disconnected, so the bytes of a large request that are still in the
             # kernel's buffer must not be sent.
