A process at another one's address, or with a stepped start time, is a new process

Cause: a name alone identified a process, a restart was noticed only if since_ms grew, and ages came from two machines' wall clocks. Now an address belongs to the process that started last: the other name gets nothing, also attempts that wait for a connection. Any change of since_ms is a restart. A start heard of as it happens is at most 1 s old, else it counts as just started; starts in the future of a first list are moved by the difference of the clocks (state/start_times.py).

--- a/pierglade/proxy/state/connections.py
+++ b/pierglade/proxy/state/connections.py
@@ -162,6 +162,7 @@
         "entry",
         "health_check_connection",
         "idle",
+        "is_superseded",
         "min_connect_time",
         "name",
         "open_connections",
@@ -181,7 +182,10 @@
         self.health_check_connection = None  # the connection of a pending health check
         # The shortest time that connecting to its address took, which is about one round trip.
         self.min_connect_time = None
-        self.entry = None  # the last Endpoint that discovery reported
+        # The last Endpoint that discovery reported, with its start on this node's clock; `started`
+        # is the time as reported.
+        self.entry = None
+        self.is_superseded = False  # whether the process of another name has its address now
 
     def connect_measured(self, duration):
         """Records how long it took to establish a connection."""
--- a/pierglade/proxy/state/endpoints.py
+++ b/pierglade/proxy/state/endpoints.py
@@ -11,6 +11,7 @@
 from pierglade.proxy.state.effects import (
     ResyncEndpoints,
 )
+from pierglade.proxy.state.start_times import StartTimes
 
 # Times are tenths of a millisecond.
 
@@ -34,6 +35,8 @@
         self.balancers = balancers
         self.lifecycle = lifecycle
         self.records = {}  # EndpointRecord by name
+        self.by_address = {}  # name of the ready endpoint that has an address
+        self.start_times = StartTimes()
         self.removed = OrderedDict()  # names of removed endpoints, the longest removed first
         self.version = None  # version of the last list from discovery
         self.lost_reason = None  # reason of the current loss of discovery, as logged
@@ -74,11 +77,13 @@
             self.version = None
             return
         self.version, self.lost_reason = index, None
+        self.start_times.message_applied()
         self.lifecycle.become_ready()
 
     def discovery_lost(self, reason, waited=0):
         """Handles a loss of discovery; `waited`: ticks since its last message or the call."""
         self.counters.count("discovery_losses")
+        self.start_times.discovery_lost(self.step.now - waited)
         if reason != self.lost_reason:
             self.lost_reason = reason
             self.step.log("discovery_lost", error=reason)
@@ -88,29 +93,19 @@
     def _apply(self, document, whole):
         listed, changed = [], []
         entries, names = self._changed_entries(document)
+        self.start_times.list_received(self.step.now, [entry.started_at for entry, _ in entries])
         for entry, address in entries:
-            backend = self.records.get(entry.name)
-            if backend is None:
-                backend = self.records[entry.name] = EndpointRecord(
-                    entry.name, address, entry.started_at
-                )
-                changed.append((entry.name, entry.state.value))
-            elif address is not None and (
-                address != backend.address or entry.started_at > backend.started
-            ):
-                # Another process uses this name now; connections to the earlier one are useless.
-                backend.address, backend.started = address, entry.started_at
-                backend.min_connect_time = None
-                self._close_idle(backend, "restarted")
-                changed.append((entry.name, "restarted"))
-            backend.entry = entry
-            self._set_state(entry.name, backend, entry.state, changed)
+            is_new = self._update_record(entry, address, changed)
+            self._set_state(entry.name, self.records[entry.name], entry.state, changed)
+            if entry.state == EndpointState.READY:
+                listed += self._claim_address(self.records[entry.name], is_new, changed)
         if whole:
             missing = [backend for name, backend in self.records.items() if name not in names]
             for backend in missing:
                 self._set_state(backend.name, backend, EndpointState.REMOVED, changed)
-            listed = [replace(backend.entry, state=EndpointState.REMOVED) for backend in missing]
-        listed += [entry for entry, _ in entries]
+            listed += [replace(backend.entry, state=EndpointState.REMOVED) for backend in missing]
+        superseded = {entry.name for entry in listed}
+        listed += [entry for entry, _ in entries if entry.name not in superseded]
         self._drop_removed()
         for balancer in (*self.balancers.earlier, self.balancers.current):
             balancer.endpoints_updated(self.step.now, listed, False)
@@ -126,6 +121,60 @@
                 **more,
             )
 
+    def _update_record(self, entry, address, changed):
+        """Updates the record of an endpoint; returns whether another process has the name now."""
+        backend, reported = self.records.get(entry.name), entry.started_at
+        if backend is None:
+            entry.started_at = self.start_times.local(self.step.now, reported, None)
+            self.records[entry.name] = EndpointRecord(entry.name, address, reported)
+            self.records[entry.name].entry = entry
+            changed.append((entry.name, entry.state.value))
+            return True
+        is_new = address is not None and (address != backend.address or reported != backend.started)
+        previous = backend.entry.started_at
+        entry.started_at = (
+            self.start_times.local(self.step.now, reported, previous)
+            if is_new and reported != backend.started
+            else previous
+        )
+        if is_new:
+            # Connections to the earlier process are useless.
+            self._release_address(backend)
+            backend.address, backend.started = address, reported
+            backend.min_connect_time, backend.is_superseded = None, False
+            self._close_idle(backend, "restarted")
+            changed.append((entry.name, "restarted"))
+        backend.entry = entry
+        return is_new
+
+    def _claim_address(self, backend, is_new, changed):
+        """Makes a ready endpoint the one that has its address, if its process is the newest there.
+
+        Returns removals for the balancer: attempts for the other name would reach this process.
+        Endpoints that share an address and the time of their start stay as they are.
+        """
+        other = self.records.get(self.by_address.get(backend.address))
+        if backend.is_superseded or other is None or other is backend:
+            if not backend.is_superseded:
+                self.by_address[backend.address] = backend.name
+                return []
+            return [replace(backend.entry, state=EndpointState.REMOVED)]
+        if other.started == backend.started or other.address != backend.address:
+            return []
+        if is_new and self.start_times.is_current and backend.started:
+            older = other
+        else:
+            older = min(backend, other, key=lambda each: each.started)
+        older.is_superseded = True
+        self.by_address[backend.address] = (backend if older is other else other).name
+        self._close_idle(older, "address taken over")
+        changed.append((older.name, "address taken over"))
+        return [replace(older.entry, state=EndpointState.REMOVED)]
+
+    def _release_address(self, backend):
+        if self.by_address.get(backend.address) == backend.name:
+            del self.by_address[backend.address]
+
     def _changed_entries(self, document):
         """Returns (Endpoint, address) of each changed endpoint, and the names of all.
 
@@ -156,6 +205,7 @@
             old.append(name)
         for name in old:
             if not self.records[name].open_connections:
+                self._release_address(self.records[name])
                 del self.records[name], self.removed[name]
 
     def _set_state(self, name, backend, state, changed):
@@ -180,10 +230,13 @@
     def is_draining(self, backend):
         """Returns whether no request may be sent to a backend.
 
+        None may be sent where another process has the backend's address.
         A backend that is missing from the list without having been draining may get requests if
         `removal_binds` is off, in the current settings and in all earlier ones with pending
         requests, whichever settings the attempt is under.
         """
+        if backend.is_superseded:
+            return True
         return backend.draining_since is not None and (
             backend.was_draining
             or any(
@@ -218,7 +271,7 @@
         and item["address"] == backend.address
         and item.get("zone") == entry.zone
         and item.get("group") == entry.cell
-        and int(item.get("since_ms") or 0) * 10 == entry.started_at
+        and int(item.get("since_ms") or 0) * 10 == backend.started
         and float(item.get("weight", 1.0)) == entry.weight
     )
 
--- a/pierglade/proxy/state/snapshot.py
+++ b/pierglade/proxy/state/snapshot.py
@@ -47,7 +47,7 @@
                 "zone": backend.entry.zone,
                 "group": backend.entry.cell,
                 "weight": backend.entry.weight,
-                "since_ms": backend.entry.started_at // 10,
+                "since_ms": backend.started // 10,
             }
             for name, backend in self.endpoints.records.items()
             if backend.state in STATUSES
--- a/tests/proxy/test_address_reuse.py
+++ b/tests/proxy/test_address_reuse.py
@@ -7,6 +7,7 @@
 from tests.support.scene import StateMachineHarness, entry
 
 ADDRESS = "127.0.0.1:9500"
+SLOW_START_MS = 9000  # a little more than in the harness
 
 
 def connected_names(harness):
@@ -31,6 +32,8 @@
     def test_nothing_is_sent_to_a_name_whose_address_another_one_has(self):
         harness = self.harness(entry("b0", address=ADDRESS), entry("b1"))
         harness.update_endpoints([entry("b2", address=ADDRESS, since_ms=1)], index=2, whole=False)
+        harness.after(SLOW_START_MS)
+        harness.lines = []
         self.assertEqual(sorted(set(self.send(harness, 12))), ["b1", "b2"])
 
     def test_order_of_a_list_does_not_decide_who_has_an_address(self):
@@ -53,6 +56,8 @@
         harness = self.harness(entry("b0", address=ADDRESS), entry("b1"))
         harness.update_endpoints([entry("b2", address=ADDRESS, since_ms=1)], index=2, whole=False)
         harness.update_endpoints([entry("b0", since_ms=2)], index=3, whole=False)
+        harness.after(SLOW_START_MS)
+        harness.lines = []
         self.assertIn("b0", self.send(harness, 12))
 
     def test_start_time_that_went_back_is_a_new_process_too(self):
--- a/tests/proxy/test_large_endpoint_lists.py
+++ b/tests/proxy/test_large_endpoint_lists.py
@@ -312,7 +312,7 @@
                         backend.entry.zone,
                         backend.entry.cell,
                         backend.entry.weight,
-                        backend.entry.started_at,
+                        backend.started,
                         backend.address,
                         backend.state,
                     ),
