An id that was sent to a backend is not sent again for 60 s, nor by the other process

Now ids that were sent are kept for 60 s, the newest 16,384 (state/executed_ids.py), and each process writes them to a file in TMPDIR that the other reads before it sends (id_exchange.py): own record first, then the other's file, so that of two at once at least one sees the other. Plain writes, no mapping: a full folder is an error, not a signal; records that can't be written are kept, a half-written one has no sequence number.

--- a/pierglade/config/logged.py
+++ b/pierglade/config/logged.py
@@ -125,6 +125,11 @@
         "connections rejected within a second, as over a limit or from blocked addresses",
         "reason, addresses",
     ),
+    "ids_not_shared": (
+        "warning",
+        "the other process of an upgrade can't be told which requests were sent; tried again",
+        "error",
+    ),
     "snapshot_restored": (
         "info",
         "learned statistics were restored from a snapshot at the start",
--- a/pierglade/proxy/server.py
+++ b/pierglade/proxy/server.py
@@ -17,6 +17,7 @@
 from pierglade.proxy.downstream import DownstreamHandler
 from pierglade.proxy.event_loop import Clock, EventLoopMonitor, Timer, run_in_steps
 from pierglade.proxy.http.body_stream import BufferBudget
+from pierglade.proxy.id_exchange import IdFiles
 from pierglade.proxy.listener import Listener
 from pierglade.proxy.logging import Log
 from pierglade.proxy.management import MAX_CONNECTIONS, ManagementServer
@@ -63,6 +64,7 @@
 # Fraction of the memory limit that large request bodies may use. During a takeover, two processes
 # share the memory.
 STREAMING_FRACTION = 0.3
+SHARE_RETRY_S = 1.0  # between two attempts to open the files of sent ids
 # Ticks (50 ms). A lag as long as the slack of responses means that the CPU is overloaded.
 MIN_LOGGED_LAG_TICKS = 500
 
@@ -112,6 +114,17 @@
             ConnectionAdmission(config.caps) if config.caps is not None else None
         )
         self.faults = self.pending_reloads = 0
+        self._share_ids()
+
+    def _share_ids(self):
+        """Opens the files of sent ids; tries again later if that is not possible now."""
+        try:
+            files = IdFiles(self.listener.address())
+        except OSError as error:
+            self.note("ids_not_shared", error=error.strerror)
+            gevent.spawn_later(SHARE_RETRY_S, self._share_ids)
+        else:
+            self.state_machine.requests.executed_ids.exchange = files
 
     def _restore(self, config):
         """Loads the initial endpoint list and the snapshot, and creates the discovery client."""
--- a/pierglade/proxy/state/attempts.py
+++ b/pierglade/proxy/state/attempts.py
@@ -45,9 +45,10 @@
         self.upstream = upstream
         self.connections = {}  # UpstreamConnection by attempt
 
-    def set_dependencies(self, health_checks):
+    def set_dependencies(self, health_checks, requests):
         """Sets the components that are created after this one."""
         self.health_checks = health_checks
+        self.requests = requests
 
     def execute_decisions(self):
         """Executes pending decisions of all balancers; drops earlier balancers without requests."""
@@ -190,7 +191,12 @@
                 self._write_delayed,
                 (connection, attempt),
             )
-        message = attempt.request.caller_context.message
+        client = attempt.request.caller_context
+        if not client.is_id_claimed:
+            client.is_id_claimed = True
+            if not self.requests.may_send(client):
+                return self.withdraw(connection, Outcome.NOT_SENT)
+        message = client.message
         headers = http.forwarded_headers(message, REPLACED_HEADERS)
         flow, request = message.body_stream, attempt.request
         length, body = len(message.body), message.body
--- /dev/null
+++ b/pierglade/proxy/state/executed_ids.py
@@ -0,0 +1,70 @@
+"""The ids of requests that a backend may have executed, so that none is executed a second time.
+
+A client's connection may end before the response, and the same request may come again: here, or at
+the other process of an upgrade. No I/O: the caller provides the exchange between the processes.
+"""
+
+from collections import OrderedDict
+from hashlib import blake2b
+from typing import Protocol
+
+# Times are tenths of a millisecond.
+
+RETENTION = 600000  # 60 s; longer than any client waits for a response
+MAX_IDS = 16384  # kept at once, the newest; a minute of 270 requests a second
+FINGERPRINT_BYTES = 8
+
+
+class IdExchange(Protocol):
+    """Tells the other process of this node which ids were sent, and what it has sent."""
+
+    def publish(self, fingerprint: bytes) -> None:
+        """Tells the other process that a request with this id is sent now."""
+
+    def received(self) -> list[bytes]:
+        """Returns the ids that the other process has sent since the last call."""
+
+
+def fingerprint(request_id: bytes) -> bytes:
+    """Returns a short digest of an id, equal in all processes."""
+    return blake2b(request_id, digest_size=FINGERPRINT_BYTES).digest()
+
+
+class ExecutedIds:
+    """The newest ids that were sent to a backend, by this process or by the other one."""
+
+    def __init__(self):
+        self.exchange: IdExchange | None = None
+        self._expiries: OrderedDict[bytes, int] = OrderedDict()
+
+    def contains(self, now: int, request_id: bytes) -> bool:
+        """Returns whether a request with this id is known to have been sent already."""
+        return self._expiries.get(fingerprint(request_id), 0) > now
+
+    def claim(self, now: int, request_id: bytes) -> bool:
+        """Records that a request is sent now; returns False if the other process has sent it.
+
+        The own record is published before that of the other process is read: if both send at once,
+        at least one of them sees the other.
+        """
+        digest = fingerprint(request_id)
+        if self.exchange is not None:
+            self.exchange.publish(digest)
+            self._receive(now)
+        is_free = self._expiries.get(digest, 0) <= now
+        self._add(now, digest)
+        return is_free
+
+    def _receive(self, now):
+        if self.exchange is not None:
+            for digest in self.exchange.received():
+                self._add(now, digest)
+
+    def _add(self, now, digest):
+        self._expiries.pop(digest, None)
+        self._expiries[digest] = now + RETENTION
+        while len(self._expiries) > MAX_IDS or next(iter(self._expiries.values())) <= now:
+            self._expiries.popitem(last=False)
+
+    def __len__(self) -> int:
+        return len(self._expiries)
--- a/pierglade/proxy/state/machine.py
+++ b/pierglade/proxy/state/machine.py
@@ -137,7 +137,7 @@
         self.downstream.set_dependencies(self.requests, self.upstream, self.attempts)
         self.requests.set_dependencies(self.reconfiguration)
         self.upstream.set_dependencies(self.attempts, self.health_checks)
-        self.attempts.set_dependencies(self.health_checks)
+        self.attempts.set_dependencies(self.health_checks, self.requests)
 
     def _handlers_by_type(self):
         """Returns the handlers by event type; a handler gets the event's fields."""
--- a/pierglade/proxy/state/requests.py
+++ b/pierglade/proxy/state/requests.py
@@ -17,12 +17,14 @@
     READY_PATH,
 )
 from pierglade.proxy.state.downstream import CLIENT_IDLE_TIMEOUT
+from pierglade.proxy.state.executed_ids import ExecutedIds
 from pierglade.settings.platform import floor_ticks
 
 # Times are tenths of a millisecond.
 
 # 2 s; how long an id stays in use after the response, as a duplicate request may still arrive.
 ID_RETENTION = 20000
+ID_IN_USE = "X-Trace-Id is in use, or was answered just now"
 MAX_ID_BYTES = 256  # bounds the memory for the ids of pending and recent requests
 HINT_PREFIX = b"hintUs="  # in X-Props: the expected cost of a request
 RETRY_AFTER_STEPS = 4  # Retry-After values of shed requests: one per quarter of the threshold
@@ -49,6 +51,7 @@
         self.downstream = downstream
         self.ids = {}  # client by id for pending requests; None for recently answered ones
         self.recent_ids = deque()  # (expiry time, id) of recently answered requests
+        self.executed_ids = ExecutedIds()
         # Whether requests without an id get one, and the number of ids assigned.
         self.assigns_ids, self.assigned_count = False, 0
         self.shed_count = 0  # shed requests since the last log line
@@ -108,7 +111,7 @@
         if self._is_in_use(request_id):
             # The id belongs to a pending or an answered request, which may be executed twice if
             # this one is forwarded.
-            return "X-Trace-Id is in use, or was answered just now"
+            return ID_IN_USE
         return None
 
     def _answer_health(self, client, message, path):
@@ -173,6 +176,7 @@
         )
         set_state(client, AWAITING_RESPONSE, self.downstream.by_state)
         client.request, client.id = request, request_id
+        client.is_id_claimed = False
         self.ids[request_id] = client
         if message.body_stream is None or message.body_stream.is_complete:
             self.downstream.await_response(client)
@@ -291,7 +295,18 @@
     def _is_in_use(self, request_id):
         while self.recent_ids and self.recent_ids[0][0] <= self.step.now:
             self.ids.pop(self.recent_ids.popleft()[1], None)
-        return request_id in self.ids
+        return request_id in self.ids or self.executed_ids.contains(self.step.now, request_id)
+
+    def may_send(self, client):
+        """Returns whether the request of a client may be sent to a backend for the first time.
+
+        Refuses it if the other process of an upgrade has sent it meanwhile.
+        """
+        if self.executed_ids.claim(self.step.now, client.id):
+            return True
+        client.request.owner.client_disconnected(self.step.now, client.request)
+        self.downstream.refuse(client, 400, ID_IN_USE, last=True)
+        return False
 
     def retire_id(self, client):
         """Keeps the id of an answered request in use for ID_RETENTION."""
--- a/tests/proxy/state/test_machine.py
+++ b/tests/proxy/state/test_machine.py
@@ -637,8 +637,10 @@
         harness.reply()
         harness.response_sent("c0")
         harness.send_request("c0", trace="one")
-        harness.after(2001)
+        harness.after(59999)
         harness.send_request("c2", trace="one")
+        harness.after(2)
+        harness.send_request("c3", trace="one")
         harness.record(
             f"{len(harness.state_machine.requests.ids)} in use, {len(harness.state_machine.requests.recent_ids)} recent"
         )
--- /dev/null
+++ b/tests/proxy/test_id_exchange.py
@@ -0,0 +1,103 @@
+"""Ids of sent requests are shared by two processes, also where writes fail or a writer is killed."""
+
+import errno
+import os
+import tempfile
+import time
+import unittest
+from unittest import mock
+
+from pierglade.proxy import id_exchange
+from pierglade.proxy.id_exchange import RECORD, IdFiles
+from pierglade.proxy.state.executed_ids import MAX_IDS, RETENTION, ExecutedIds
+
+ADDRESS = "127.0.0.1:8081"
+
+
+def digest(number):
+    return number.to_bytes(8, "little")
+
+
+class IdExchangeTest(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.opened = []
+
+    def tearDown(self):
+        for each in self.opened:
+            each.close()
+        self.folder.cleanup()
+
+    def open(self):
+        files = IdFiles(ADDRESS, self.folder.name)
+        self.opened.append(files)
+        return files
+
+    def test_each_process_reads_what_the_other_one_wrote(self):
+        old, new = self.open(), self.open()
+        for number in range(1, 200):
+            (old if number % 2 else new).publish(digest(number))
+        self.assertEqual(new.received(), [digest(n) for n in range(1, 200, 2)])
+        self.assertEqual(old.received(), [digest(n) for n in range(2, 200, 2)])
+        self.assertEqual((old.received(), new.received()), ([], []))
+
+    def test_successor_of_a_killed_process_knows_its_ids(self):
+        first = self.open()
+        first.publish(digest(1))
+        first.close()
+        self.assertEqual(self.open().received(), [digest(1)])
+
+    def test_reader_that_was_overtaken_gets_the_newest(self):
+        old, new = self.open(), self.open()
+        for number in range(1, 2 * MAX_IDS):
+            old.publish(digest(number))
+        received = new.received()
+        self.assertEqual((received[-1], len(received)), (digest(2 * MAX_IDS - 1), MAX_IDS))
+
+    def test_records_are_kept_while_the_folder_is_full_or_writes_are_short(self):
+        old, new = self.open(), self.open()
+        write = os.pwrite
+        for failure in (errno.ENOSPC, errno.EIO, None):
+
+            def fail(file, data, offset, failure=failure):
+                if failure is None:
+                    return write(file, data[: RECORD.size // 2], offset)
+                raise OSError(failure, os.strerror(failure))
+
+            with mock.patch.object(id_exchange.os, "pwrite", fail):
+                old.publish(digest(failure or 1))
+                self.assertEqual(new.received(), [])
+            old.publish(digest(7))
+            self.assertEqual(new.received(), [digest(failure or 1), digest(7)])
+
+    def test_half_written_record_of_a_killed_process_is_not_read(self):
+        old, new = self.open(), self.open()
+        old.publish(digest(1))
+        os.pwrite(old.own, digest(9) + b"\1" * 8, 2 * RECORD.size)
+        self.assertEqual(new.received(), [digest(1)])
+        old.close()
+        self.assertEqual(self.open().received(), [digest(1)])
+
+    def test_records_of_an_earlier_time_are_dropped(self):
+        old = self.open()
+        old.publish(digest(1))
+        old.close()
+        later_ns = time.monotonic_ns() + RETENTION * 100000 + 1
+        with mock.patch.object(id_exchange.time, "monotonic_ns", return_value=later_ns):
+            self.assertEqual(self.open().received(), [])
+
+    def test_folder_that_is_full_at_the_start(self):
+        full = OSError(errno.ENOSPC, "No space left on device")
+        with mock.patch.object(id_exchange.os, "pwrite", side_effect=full):
+            with self.assertRaises(OSError):
+                self.open()
+        self.open()
+
+    def test_id_that_both_processes_send_at_once_is_claimed_by_one_at_most(self):
+        processes = [ExecutedIds(), ExecutedIds()]
+        for each in processes:
+            each.exchange = self.open()
+        claimed = [each.claim(0, b"same") for each in processes]
+        self.assertLessEqual(sum(claimed), 1)
+        self.assertTrue(all(each.contains(1, b"same") for each in processes))
+        self.assertFalse(processes[0].contains(RETENTION + 1, b"same"))
