Nothing is sent on for a client that may have closed behind unread bytes

Where attempts may not be cancelled, a streamed request of a client that had left was completed at its backend: its last byte is held back until the client has been looked at once more.

--- a/pierglade/proxy/downstream.py
+++ b/pierglade/proxy/downstream.py
@@ -42,6 +42,12 @@
 MAX_BYTES_IN_TRANSIT = (1 << 22) + 2 * socket_io.RECEIVE_BUFFER_BYTES
 # Ticks (50 ms). Time in which the client's kernel sends what it has once this side reads again.
 MAX_SEND_DELAY = 500
+# Ticks (50 ms). Time since the last read after which a client may have left for too long: a request
+# must not be sent on 100 ms after its client has closed.
+MAX_UNSEEN_TICKS = 500
+# Unread bytes behind which the end of a connection can hide; an eighth of the receive buffer, as
+# the kernel counts small pieces at several times their size.
+MAX_UNREAD_BYTES = socket_io.RECEIVE_BUFFER_BYTES // 8
 # Statuses sent for a malformed or incomplete request.
 MALFORMED_STATUSES = (b"400", b"408", b"413", b"431")
 DISCARD_BUFFER = memoryview(bytearray(65536))  # shared by all connections
@@ -86,6 +92,8 @@
         # Since when the client's kernel could send all that it had (ticks). None: reading was
         # paused, and what came meanwhile is not read yet.
         self.window_open_since = 0
+        self.request_read_at = 0  # when the last bytes were read (ticks)
+        self.is_reading_paused = False  # because pipelined requests fill the buffer
         # (bytes read by then, time) of reads while requests wait behind the current one.
         self.pipelined_reads = deque()
         socket_io.set_up(sock)
@@ -114,10 +122,13 @@
                 if buffer is None:
                     # Pipelined requests fill the buffer. Until a response is sent, nothing more is
                     # read, and the end of the stream is not detected.
+                    self.is_reading_paused = True
                     self.read_resumed.clear()
                     self.read_resumed.wait()
+                    self.is_reading_paused = False
                     continue
                 byte_count = self._receive(buffer)
+                self.request_read_at = self.now()
                 if not byte_count:
                     break
                 if not self.is_discarding:
@@ -385,6 +396,18 @@
             self.pipelined_reads.clear()
         return arrived_at
 
+    def may_have_left_unseen(self) -> bool:
+        """Returns whether the client may have closed long ago without this side noticing.
+
+        Behind requests that fill the receive buffer, the end of the stream stays with the client's
+        kernel. What has just arrived was sent by a client that was still there.
+        """
+        return (
+            self.is_reading_paused
+            and self.now() - self.request_read_at > MAX_UNSEEN_TICKS
+            and socket_io.unread_bytes(self.sock) > MAX_UNREAD_BYTES
+        )
+
     def close_when_read(self, reason: str):
         """Closes the connection unless unhandled data has arrived."""
         if not self.requests.has_begun() and not socket_io.is_readable(self.sock):
--- a/pierglade/proxy/socket_io.py
+++ b/pierglade/proxy/socket_io.py
@@ -56,9 +56,11 @@
     sock._wait(sock._write_event)
 
 
-def stream_body(sock, head: bytes, body, chunked: bool, on_progress):
+def stream_body(sock, head: bytes, body, chunked: bool, on_progress, may_end=lambda: True) -> bool:
     """Sends the BodyStream `body` as it is read; calls `on_progress` after each piece.
 
+    `may_end`: called before the last byte. Returns whether the body was sent to its end.
+
     Raises:
         OSError: the connection has ended.
     """
@@ -68,13 +70,19 @@
     sock.sendall(head)
     while (piece := body.take()) is not None:
         if piece:
+            is_last = body.is_complete and not body.pieces and not chunked
+            if is_last and not may_end():
+                return False
             sock.sendall(b"%x\r\n%s\r\n" % (len(piece), piece) if chunked else piece)
             on_progress()
         else:
             changed.clear()
             changed.wait()
-    if chunked and not body.is_aborted:
+    if body.is_aborted or (chunked and not may_end()):
+        return False
+    if chunked:
         sock.sendall(b"0\r\n\r\n")
+    return True
 
 
 def discard_unsent(sock: socket.socket):
@@ -113,6 +121,16 @@
     return int.from_bytes(count, sys.byteorder)
 
 
+def unread_bytes(sock: socket.socket) -> int:
+    """Returns the bytes that the kernel has received and were not read; 0 if it does not tell."""
+    count = bytearray(4)
+    try:
+        fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
 def peer_has_closed(sock: socket.socket) -> bool:
     """Returns whether the peer has closed the connection, even if unread bytes come before that."""
     try:
--- a/pierglade/proxy/state/events.py
+++ b/pierglade/proxy/state/events.py
@@ -71,9 +71,10 @@
 
 
 class RequestNotSent(NamedTuple):
-    """Nothing was written upstream: the client had already ended its side of the connection."""
+    """Nothing was written upstream: the client has ended its side, or may have, unseen."""
 
     connection: UpstreamConnection
+    client_closed: bool = True
 
 
 class ResponsePartReceived(NamedTuple):
--- a/pierglade/proxy/state/upstream.py
+++ b/pierglade/proxy/state/upstream.py
@@ -143,10 +143,16 @@
         else:
             self.attempts.write(connection)
 
-    def request_not_sent(self, connection):
-        """Abandons the request: the client had ended its side before anything was written."""
+    def request_not_sent(self, connection, client_closed):
+        """Withdraws an attempt before anything was written.
+
+        `client_closed`: the client has ended its side, so its request is abandoned; otherwise it is
+        unknown whether it has.
+        """
         if connection.state is BUSY and connection.attempt is not None:
-            self.downstream.disconnected(connection.attempt.request.caller_context, "client closed")
+            client = connection.attempt.request.caller_context
+            if client_closed:
+                self.downstream.disconnected(client, "client closed")
             self.attempts.withdraw(connection, Outcome.NOT_SENT)
 
     def release(self, connection, keep):
--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -167,12 +167,14 @@
         """
         if self.connection.is_health_check:
             return False
+        client = self._client_handler()
+        return client is None or socket_io.peer_has_closed(client.sock)
+
+    def _client_handler(self):
         attempt = self.connection.attempt
-        return (
-            attempt is None
-            or (client := attempt.request.caller_context.io) is None
-            or socket_io.peer_has_closed(client.sock)
-        )
+        if self.connection.is_health_check or attempt is None:
+            return None
+        return attempt.request.caller_context.io
 
     def write(self, head: bytes, body):
         """Sends a request; `body`: bytes or a BodyStream."""
@@ -184,7 +186,11 @@
             )
             return
         if self._has_no_client():
-            self.handle_event(RequestNotSent(self.connection))
+            self.handle_event(RequestNotSent(self.connection, True))
+            return
+        client = self._client_handler()
+        if client is not None and client.may_have_left_unseen():
+            self.handle_event(RequestNotSent(self.connection, False))
             return
         if isinstance(body, BodyStream):
             gevent.spawn(self._write_body_stream, head, body)
@@ -207,16 +213,7 @@
         try:
             while unsent:
                 if self._has_no_client():
-                    # A backend executes a request only once it has the last byte, which was not
-                    # sent.
-                    return self.handle_event(
-                        UpstreamClosed(
-                            self.connection,
-                            CloseCause.CLIENT_GONE,
-                            False,
-                            "client disconnected while its request was written",
-                        )
-                    )
+                    return self._client_left()
                 try:
                     unsent = unsent[self.sock._sock.send(unsent, socket.MSG_DONTWAIT) :]
                 except BlockingIOError:
@@ -238,18 +235,20 @@
                 self.sock.sendall(head)
                 for piece in list(body.pieces):
                     if self._has_no_client():
-                        return self.handle_event(
-                            UpstreamClosed(
-                                self.connection,
-                                CloseCause.CLIENT_GONE,
-                                False,
-                                "client disconnected while its request was written",
-                            )
-                        )
+                        return self._client_left()
                     self.sock.sendall(piece)
+                self.is_request_written = not body.is_aborted
             else:
-                socket_io.stream_body(self.sock, head, body, body.length is None, lambda: None)
-            self.is_request_written = not body.is_aborted
+                self.is_request_written = socket_io.stream_body(
+                    self.sock,
+                    head,
+                    body,
+                    body.length is None,
+                    lambda: None,
+                    lambda: not self._has_no_client(),
+                )
+                if not self.is_request_written and not body.is_aborted:
+                    return self._client_left()
             if body.is_aborted and self.connection.attempt is not None:
                 # If attempts are not cancelled, nothing else ends this one, whose body stays
                 # incomplete.
@@ -273,6 +272,18 @@
                 ),
             )
 
+    def _client_left(self):
+        """Ends the attempt: a backend executes a request only once it has the last byte."""
+        if self.connection.attempt is not None:
+            self.handle_event(
+                UpstreamClosed(
+                    self.connection,
+                    CloseCause.CLIENT_GONE,
+                    False,
+                    "client disconnected while its request was written",
+                )
+            )
+
     def abort_unless_written(self):
         """Aborts the connection unless the backend has received the whole request.
 
--- a/tests/proxy/test_departed_clients.py
+++ b/tests/proxy/test_departed_clients.py
@@ -5,6 +5,7 @@
 import unittest
 
 from tests.support.node_process import (
+    SETTINGS,
     Backend,
     Client,
     Discovery,
@@ -20,6 +21,8 @@
 
 
 class DepartedClients(unittest.TestCase):
+    may_cancel = True
+
     def setUp(self):
         self.started = []
         self.backends = [Backend(f"b{n}", self.serve) for n in range(2)]
@@ -28,7 +31,9 @@
         self.node = self.start_node()
 
     def start_node(self, **changed):
-        node = NodeProcess(self.discovery, **changed).wait_ready()
+        limits = {**SETTINGS["limits"], "mayCancel": self.may_cancel}
+        settings = {**SETTINGS, "limits": limits}
+        node = NodeProcess(self.discovery, settings=settings, **changed).wait_ready()
         self.started.insert(0, node)
         return node
 
@@ -118,3 +123,26 @@
         for each in late:
             each.close()
         self.assertEqual((self.runs("before"), self.runs("at-new")), (1, 1))
+
+
+class Uploads(DepartedClients):
+    may_cancel = False
+    SIZE = 1500000  # more than is buffered whole; it fits into the kernels' buffers
+
+    def setUp(self):
+        super().setUp()
+        for each in self.backends:
+            each.read_pause_s = 0.01  # 16 kB each: a second for all
+
+    def test_request_of_a_client_that_left_behind_its_body_is_not_completed(self):
+        for coding in (b"Content-Length: 1500000", b"Transfer-Encoding: chunked"):
+            trace_id = f"left-{coding[:4].decode()}"
+            head = request("/settle", trace_id, 4000).replace(b"Content-Length: 0", coding)
+            body = b"x" * self.SIZE
+            if coding.startswith(b"T"):
+                body = b"%x\r\n%s\r\n0\r\n\r\n" % (self.SIZE, body)
+            client = Client(self.node.place)
+            client.send(head + body)
+            client.close()
+            time.sleep(2.5)
+            self.assertEqual(self.runs(trace_id), 0, coding)
--- a/tests/support/node_process.py
+++ b/tests/support/node_process.py
@@ -194,6 +194,8 @@
         self.received, self.socks = [], []
         host, _, port = (address or "127.0.0.1:0").rpartition(":")
         self.listener = socket.create_server((host, int(port)), backlog=512)
+        if read_pause_s:  # else the kernel would take all of a body at once
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
         self.address = "%s:%d" % self.listener.getsockname()
         threading.Thread(target=self._accept, daemon=True).start()
 
