A head of more than 100 fields is answered 431 before it is parsed

Heads of 2,400 short fields took 438 MB for 900 clients (480 kB each for 14 kB sent), as each field is three objects and a table entry; one of 3,900 equal fields took its node over a second, as repeated names were collected in a tuple that is copied for each, so other clients were answered 1.1 to 5.4 s late. A head was bounded in bytes alone. Now it is bounded in fields as well, counted before the parser sees them.

--- a/pierglade/proxy/http/head.py
+++ b/pierglade/proxy/http/head.py
@@ -7,6 +7,8 @@
 from pierglade.proxy.http.message import Message
 
 MAX_HEAD_BYTES = 16384  # start line and headers; common servers accept as much
+# A parsed field takes some 300 bytes of memory, however short it is; common servers accept as many.
+MAX_HEAD_FIELDS = 100
 MAX_LENGTH_DIGITS = 18  # a Content-Length with more digits is rejected before it is parsed
 FRAMING_FIELDS = frozenset((b"content-length", b"transfer-encoding"))
 
--- a/pierglade/proxy/http/reader.py
+++ b/pierglade/proxy/http/reader.py
@@ -5,6 +5,7 @@
 from pierglade.proxy.http.head import (
     HEADER_LINES,
     MAX_HEAD_BYTES,
+    MAX_HEAD_FIELDS,
     REQUEST_HEAD,
     RESPONSE_HEAD,
     BodyFraming,
@@ -301,6 +302,9 @@
             head_end < 0 and self.end - self.start > MAX_HEAD_BYTES
         ):
             raise ProtocolError(431, "head too large")
+        # One more line is the start line, and one ends the head.
+        if buffer.count(b"\n", self.start, limit) > MAX_HEAD_FIELDS + 2:
+            raise ProtocolError(431, "too many fields")
         if limit > self.position:
             if not (self.head if self.position == self.start else HEADER_LINES).fullmatch(
                 buffer, self.position, limit
