What was read of a chunked body is held in one buffer, not as one object for each chunk

Each chunk was kept as an object until the body was whole: one of 2 bytes took some 45 bytes. The readers of both sides now append to one buffer.

--- a/pierglade/proxy/downstream.py
+++ b/pierglade/proxy/downstream.py
@@ -241,7 +241,8 @@
         self.reserved_bytes = STREAM_RESERVATION_BYTES
         self.message, self.is_announced = message, False
         message.body_stream = self.body_stream = BodyStream(
-            self.requests.length if self.requests.pieces is None else None, self.read_resumed.set
+            self.requests.length if self.requests.unsized_body is None else None,
+            self.read_resumed.set,
         )
         if self.requests.expects_continue():
             socket_io.send_now(self.sock, CONTINUE_RESPONSE, b"")
@@ -253,7 +254,7 @@
         body.add(requests.piece())
         body.incomplete_at = (
             self.loop_monitor.arrived_at
-            if requests.pieces is None and requests.remaining > MAX_BYTES_IN_TRANSIT
+            if requests.unsized_body is None and requests.remaining > MAX_BYTES_IN_TRANSIT
             else self.incomplete_at
         )
         if requests.body_complete:
--- a/pierglade/proxy/http/reader.py
+++ b/pierglade/proxy/http/reader.py
@@ -105,10 +105,10 @@
         self.remaining = 0  # remaining bytes of a streamed body with a length
         self.body_start = 0  # position in the buffer
         self.length = 0  # bytes of a body with a length
-        self.pieces = None  # pieces of a body whose length is known only at its end
+        self.unsized_body = None  # what was read of a body whose length is known only at its end
         self.chunk_framer = None  # the ChunkFramer of a chunked body
         # Bytes read of a chunked body, with and without the framing of its chunks.
-        self.chunked_size = self.pieces_size = 0
+        self.chunked_size = self.unsized_size = 0
         self.body_complete = False  # the body was read to its end
 
     def has_begun(self) -> bool:
@@ -119,7 +119,7 @@
         """Returns the bytes read after the current head; None while the head is incomplete."""
         if not self.head_complete:
             return None
-        return self.chunked_size if self.pieces is not None else self.end - self.body_start
+        return self.chunked_size if self.unsized_body is not None else self.end - self.body_start
 
     def unsized_body_bytes(self) -> int | None:
         """Returns the bytes read of a body whose length is known only at its end.
@@ -127,9 +127,9 @@
         None if no such body is being read, or if it is streamed already.
         """
         is_final = self.message.status // 100 != 1
-        if self.pieces is None or self.in_use or self.body_complete or not is_final:
+        if self.unsized_body is None or self.in_use or self.body_complete or not is_final:
             return None
-        return self.pieces_size
+        return self.unsized_size
 
     def begin_stream(self) -> Message | None:
         """Returns the message being read, whose body is streamed from now on.
@@ -166,8 +166,8 @@
                     self.buffer = bytearray(STREAM_BUFFER_BYTES)
                     self.view = memoryview(self.buffer)
         elif not self.in_use:
-            if self.pieces is not None and self.position == self.end:
-                # The parsed part of a chunked body is stored in pieces; its space is reused.
+            if self.unsized_body is not None and self.position == self.end:
+                # The parsed part of a chunked body is stored elsewhere; its space is reused.
                 self.position = self.end = self.body_start
             if self.start == self.end and (self.end or len(self.buffer) > INITIAL_BUFFER_BYTES):
                 self._move(INITIAL_BUFFER_BYTES)  # Releases the memory of a large message.
@@ -231,10 +231,10 @@
             return None
         while self.head_complete or self._read_head():
             if self.until_end:
-                self.pieces.append(bytes(self.view[self.position : self.end]))
-                self.pieces_size += self.end - self.position
+                self.unsized_body += self.view[self.position : self.end]
+                self.unsized_size += self.end - self.position
                 self.position = self.end
-            elif self.pieces is not None:
+            elif self.unsized_body is not None:
                 self._read_chunks()
             elif self.length <= self.max_buffered_bytes:
                 message_end = self.body_start + self.length
@@ -243,12 +243,12 @@
                 self.message.body = self.view[self.body_start : message_end]
                 self.position, self.body_complete = message_end, True
             if not self.body_complete:
-                if self.pieces is not None and self.pieces_size <= self.max_buffered_bytes:
+                if self.unsized_body is not None and self.unsized_size <= self.max_buffered_bytes:
                     return None
                 self.is_streamed = self.in_use = True
                 return self.message
-            if self.pieces is not None:
-                self.message.body = b"".join(self.pieces)
+            if self.unsized_body is not None:
+                self.message.body, self.unsized_body = self.unsized_body, bytearray()
             if self.message.status // 100 != 1:
                 self.in_use, self.interim_count = True, 0
                 return self.message
@@ -265,19 +265,18 @@
 
         `body_complete` is set once the body was read to its end.
         """
-        if self.pieces is None:
+        if self.unsized_body is None:
             limit = min(self.end, self.position + self.remaining)
             piece = bytes(self.view[self.position : limit])
             self.remaining -= len(piece)
             self.position, self.body_complete = limit, not self.remaining
             return piece
         if self.until_end:
-            self.pieces.append(bytes(self.view[self.position : self.end]))
+            self.unsized_body += self.view[self.position : self.end]
             self.position = self.end
         elif not self.body_complete:
             self._read_chunks()
-        piece = b"".join(self.pieces)
-        self.pieces.clear()
+        piece, self.unsized_body = bytes(self.unsized_body), bytearray()
         return piece
 
     def ended(self) -> bool:
@@ -286,7 +285,7 @@
             return False
         self.body_complete = True
         if not self.is_streamed:
-            self.message.body = b"".join(self.pieces)
+            self.message.body, self.unsized_body = self.unsized_body, bytearray()
             self.in_use = True
         return True
 
@@ -331,7 +330,7 @@
             self.position = limit
 
     def _feed(self, data):
-        self.chunked_size += len(data) if self.pieces is not None else 0
+        self.chunked_size += len(data) if self.unsized_body is not None else 0
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -351,9 +350,10 @@
         framing, self.length = body_framing(self.message, self.max_body_bytes)
         self.remaining = self.length
         if framing is BodyFraming.CHUNKED:
-            self.pieces, self.chunk_framer = [], ChunkFramer()
+            self.unsized_body, self.chunk_framer = bytearray(), ChunkFramer()
         elif framing is BodyFraming.NONE and not self._has_no_body():
-            self.until_end, self.pieces, self.message.is_reusable = True, [], False
+            self.until_end, self.unsized_body = True, bytearray()
+            self.message.is_reusable = False
 
     # Callbacks of the parser.
 
@@ -379,12 +379,10 @@
 
     def on_body(self, body):
         """Handles decoded bytes of a body (parser callback)."""
-        if self.pieces is not None:
-            self.pieces.append(body)
-            # The size is summed up here rather than over all pieces, so that a body of many small
-            # chunks does not take more time than one of few large chunks.
-            self.pieces_size += len(body)
-            if self.pieces_size > self.max_body_bytes:
+        if self.unsized_body is not None:
+            self.unsized_body += body
+            self.unsized_size += len(body)
+            if self.unsized_size > self.max_body_bytes:
                 raise ProtocolError(413, "body too large")
 
     def on_chunk_header(self):
@@ -393,7 +391,7 @@
 
     def on_message_complete(self):
         """Handles the end of the message (parser callback)."""
-        if self.pieces is not None:
+        if self.unsized_body is not None:
             self.body_complete = True
 
 
--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -117,7 +117,7 @@
             self.responses.release()
 
     def _begin_body(self, message):
-        has_length = self.responses.pieces is None
+        has_length = self.responses.unsized_body is None
         message.body_stream = self.body_stream = BodyStream(
             self.responses.length if has_length else None, self.read_resumed.set
         )
