All that messages hold counts against the memory limit; without memory, answers stream

A process passed its limit while hundreds of clients wrote or read slowly: only bodies over 64 kB counted against it, as 30% of the limit whatever the process had in use; buffers of smaller bodies, heads and responses did not, and 1,024 connections take 24 MB alone (a greenlet has 16 kB of Python stack). Readers grow with what has come, not with what is announced, and reserve it; a request without memory is rejected (503, Retry-After as for others), a response is streamed through 4 kB. During a takeover each process has half.

--- a/pierglade/proxy/downstream.py
+++ b/pierglade/proxy/downstream.py
@@ -11,6 +11,7 @@
 from pierglade.proxy.http.body_stream import (
     BUFFERED_FRACTION,
     MAX_BUFFERED_BYTES,
+    REQUEST_FRACTION,
     STREAM_RESERVATION_BYTES,
     WINDOW,
     BodyStream,
@@ -80,7 +81,8 @@
         self.discarded, self.max_discard_bytes = 0, MAX_DISCARD_BYTES  # bytes
         self.body_stream = None  # the BodyStream being read, where the body is too large to buffer
         self.is_streaming_response = False  # a response is being streamed and is not complete
-        self.reserved_bytes = 0  # bytes reserved from the budget
+        # Bytes reserved from the budget: for a streamed body, and for the reader.
+        self.reserved_bytes = self.reader_bytes = 0
         self.is_announced = False  # the state machine has received the request
         self.client = None  # the DownstreamConnection, set by the state machine
         # Returns when data read now is likely to have arrived.
@@ -127,6 +129,9 @@
                     self.read_resumed.wait()
                     self.is_reading_paused = False
                     continue
+                if not self.is_discarding and not self._reserve_for_reader():
+                    self._reject_for_memory()
+                    continue
                 byte_count = self._receive(buffer)
                 self.request_read_at = self.now()
                 if not byte_count:
@@ -143,6 +148,7 @@
         except OSError as error:
             reason = f"connection lost: {error.strerror}"
         finally:
+            self._drop_reader()
             self.requests.drop()
             self._abort_body()
         self.handle_event(ClientDisconnected(self.client, reason))
@@ -231,13 +237,38 @@
 
     # Bodies that are too large to buffer.
 
+    def _reserve_for_reader(self):
+        """Reserves what the reader holds; returns whether it may go on reading a request."""
+        # The buffer of a streamed body is part of its own reservation.
+        needed = 0 if self.requests.is_streamed else self.requests.extra_bytes()
+        more = needed - self.reader_bytes
+        if more <= 0:
+            self.budget.release(-more)
+        elif self.requests.in_use:
+            self.budget.force(more)  # The request was passed on already.
+        elif not self.budget.reserve(more, REQUEST_FRACTION):
+            return False
+        self.reader_bytes = needed
+        return True
+
+    def _reject_for_memory(self):
+        """Rejects the request being read: many such requests would exceed the process's memory."""
+        self.is_discarding, self.max_discard_bytes = True, MAX_UPLOAD_DISCARD_BYTES
+        self.handle_event(MalformedRequest(self.client, 503))
+        self._drop_reader()
+
+    def _drop_reader(self):
+        """Replaces the reader by an empty one, as nothing more is read as a request."""
+        self.requests.drop()
+        self.requests = RequestReader()
+        self.budget.release(self.reader_bytes)
+        self.reader_bytes = 0
+
     def _begin_body_stream(self, message):
-        if not self.budget.reserve(STREAM_RESERVATION_BYTES):
-            # The request is rejected before its body is read, as many such bodies would exceed the
-            # memory of the process.
-            self.is_discarding, self.max_discard_bytes = True, MAX_UPLOAD_DISCARD_BYTES
-            self.handle_event(MalformedRequest(self.client, 503))
-            return
+        if not self.budget.reserve(STREAM_RESERVATION_BYTES, REQUEST_FRACTION):
+            return self._reject_for_memory()
+        self.budget.release(self.reader_bytes)
+        self.reader_bytes = 0
         self.reserved_bytes = STREAM_RESERVATION_BYTES
         self.message, self.is_announced = message, False
         message.body_stream = self.body_stream = BodyStream(
@@ -321,12 +352,15 @@
             self._response_written(close_after)
 
     def _write_rest(self, unsent, close_after):
+        self.budget.force(len(unsent))
         try:
             self.sock.sendall(unsent)
         except OSError as error:
             return self.handle_event(
                 ClientDisconnected(self.client, f"connection lost: {error.strerror}")
             )
+        finally:
+            self.budget.release(len(unsent))
         self._response_written(close_after)
 
     def _stream_body(self, head, body, close_after, chunked):
@@ -360,8 +394,7 @@
             ):
                 self.max_discard_bytes = MAX_UPLOAD_DISCARD_BYTES
             self.is_discarding = True
-            self.requests.drop()
-            self.requests = RequestReader()
+            self._drop_reader()
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_WR)
         else:
--- a/pierglade/proxy/http/body_stream.py
+++ b/pierglade/proxy/http/body_stream.py
@@ -6,16 +6,22 @@
 
 from collections import deque
 
-WINDOW = 1 << 16  # maximum bytes read and not yet written; more would only occupy memory
-# Memory that a streamed body takes, including the buffer that it is read into.
-STREAM_RESERVATION_BYTES = 1 << 17
+WINDOW = 1 << 15  # maximum bytes read and not yet written; more would only occupy memory
+# Memory that a streamed body takes: its window, the buffer that it is read into, and the piece that
+# is being written.
+STREAM_RESERVATION_BYTES = 3 << 15
+SMALL_WINDOW = 1 << 12  # for a response where no memory is left for more
 # A slow sender's body of up to this size is buffered whole, so that it can be sent again.
 MAX_BUFFERED_BYTES = 1 << 20
 BUFFERED_FRACTION = 0.5  # of the budget, for bodies buffered whole; the rest is for streamed ones
+REQUEST_FRACTION = 0.7  # of the budget, for all of requests; the rest is for responses
 
 
 class BufferBudget:
-    """Limits the bytes of bodies that this process holds, over all connections."""
+    """Limits the bytes of messages that this process holds, over all connections.
+
+    Each connection may hold one small buffer beside it, which its descriptor stands for.
+    """
 
     def __init__(self, max_bytes):
         self.max_bytes, self.reserved = max_bytes, 0
@@ -30,6 +36,10 @@
         self.reserved += byte_count
         return True
 
+    def force(self, byte_count: int):
+        """Reserves bytes that are in use already; others get none until the budget is met again."""
+        self.reserved += byte_count
+
     def release(self, byte_count: int):
         """Releases reserved bytes."""
         self.reserved -= byte_count
@@ -42,8 +52,8 @@
     callbacks, called whenever either side may continue.
     """
 
-    def __init__(self, length, *wakes):
-        self.length, self.wakes = length, list(wakes)
+    def __init__(self, length, *wakes, window=WINDOW):
+        self.length, self.wakes, self.window = length, list(wakes), window
         # `buffered_bytes`: bytes in `pieces`; `size`: bytes read in total.
         self.pieces, self.buffered_bytes, self.size = deque(), 0, 0
         self.is_complete = self.is_aborted = False  # read to its end; aborted
@@ -67,7 +77,7 @@
 
     def full(self) -> bool:
         """Returns whether the reading side should pause until a piece is taken."""
-        return self.buffered_bytes >= WINDOW and not self.is_aborted
+        return self.buffered_bytes >= self.window and not self.is_aborted
 
     def finish(self):
         """Records that the body was read to its end."""
--- a/pierglade/proxy/http/reader.py
+++ b/pierglade/proxy/http/reader.py
@@ -19,6 +19,8 @@
 MAX_REQUEST_BODY_BYTES = 1 << 26  # operators expect bodies of up to 32 MB
 STREAM_BUFFER_BYTES = 1 << 15  # maximum size of one read from a streamed body
 INITIAL_BUFFER_BYTES = 4096  # nearly all heads fit
+FIELD_BYTES = 300  # memory of a parsed field, beside its text
+FREE_FIELDS = 16  # fields whose memory is not counted; usual heads have fewer
 # Limit on a chunked body including its framing, as a multiple of the maximum body size. A larger
 # body has more framing than data.
 MAX_CHUNKING_OVERHEAD = 4
@@ -93,6 +95,7 @@
         self.position = self.end = 0  # positions up to which the buffer was parsed and filled
         self.in_use = False  # whether the message that `next` returned is still in use
         self.interim_count = 0  # interim responses read before the current message
+        self.stream_buffer_bytes = STREAM_BUFFER_BYTES
         self._begin()
 
     def _begin(self):
@@ -134,9 +137,10 @@
     def begin_stream(self) -> Message | None:
         """Returns the message being read, whose body is streamed from now on.
 
-        None if `unsized_body_bytes` is: the other messages are complete soon, or streamed anyway.
+        None if its head is not complete yet, or if it is complete or streamed already.
         """
-        if self.unsized_body_bytes() is None:
+        is_final = self.message.status // 100 != 1
+        if not self.head_complete or self.in_use or self.body_complete or not is_final:
             return None
         self.is_streamed = self.in_use = True
         return self.message
@@ -162,8 +166,8 @@
         if self.is_streamed:
             if self.position == self.end:
                 self.position = self.end = self.start = 0
-                if len(self.buffer) != STREAM_BUFFER_BYTES:
-                    self.buffer = bytearray(STREAM_BUFFER_BYTES)
+                if len(self.buffer) != self.stream_buffer_bytes:
+                    self.buffer = bytearray(self.stream_buffer_bytes)
                     self.view = memoryview(self.buffer)
         elif not self.in_use:
             if self.unsized_body is not None and self.position == self.end:
@@ -171,15 +175,18 @@
                 self.position = self.end = self.body_start
             if self.start == self.end and (self.end or len(self.buffer) > INITIAL_BUFFER_BYTES):
                 self._move(INITIAL_BUFFER_BYTES)  # Releases the memory of a large message.
-            elif (
-                self.body_start + self.length > len(self.buffer)
-                and self.length <= self.max_buffered_bytes
-            ):
-                self._move(self.body_start - self.start + self.length)
             elif self.end == len(self.buffer):
-                self._move(len(self.buffer) * (1 if self.start else 2))
+                self._grow()
         return self.view[self.end :] if self.end < len(self.buffer) else None
 
+    def _grow(self):
+        """Makes room behind what was read: twice of that, or the rest of a body if that is less."""
+        message_size = self.body_start - self.start + self.length
+        size = max(2 * (self.end - self.start), INITIAL_BUFFER_BYTES)
+        if self.end - self.start < message_size <= self.max_buffered_bytes + MAX_HEAD_BYTES:
+            size = min(size, message_size)
+        self._move(size)
+
     def _move(self, size):
         """Moves the current message to the front of a buffer of `size` bytes."""
         unparsed = self.end - self.start
@@ -190,6 +197,13 @@
         self.body_start -= self.start if self.body_start else 0
         self.start = 0
 
+    def extra_bytes(self) -> int:
+        """Returns the memory that is held beside a small buffer and the fields of a usual head."""
+        extra = len(self.buffer) - INITIAL_BUFFER_BYTES
+        if (field_count := len(self.message.headers)) > FREE_FIELDS:
+            extra += FIELD_BYTES * (field_count - FREE_FIELDS)
+        return extra if self.unsized_body is None else extra + len(self.unsized_body)
+
     def filled(self, byte_count: int):
         """Records that `byte_count` bytes were read into the view that `writable` returned."""
         self.end += byte_count
--- a/pierglade/proxy/server.py
+++ b/pierglade/proxy/server.py
@@ -21,6 +21,7 @@
 from pierglade.proxy.listener import Listener
 from pierglade.proxy.logging import Log
 from pierglade.proxy.management import MAX_CONNECTIONS, ManagementServer
+from pierglade.proxy.memory_limits import memory_limits, private_bytes
 from pierglade.proxy.process_monitor import ProcessMonitor
 from pierglade.proxy.state.connections import CloseCause
 from pierglade.proxy.state.constants import NEVER
@@ -61,9 +62,6 @@
 
 # Ticks (50 ms). Delay of the next wakeup if the state machine failed to compute it.
 RETRY_WAKEUP_TICKS = 500
-# Fraction of the memory limit that large request bodies may use. During a takeover, two processes
-# share the memory.
-STREAMING_FRACTION = 0.3
 SHARE_RETRY_S = 1.0  # between two attempts to open the files of sent ids
 # Ticks (50 ms). A lag as long as the slack of responses means that the CPU is overloaded.
 MIN_LOGGED_LAG_TICKS = 500
@@ -79,7 +77,8 @@
 
     def __init__(self, config: "NodeConfig"):
         self.clock = Clock()
-        self.budget = BufferBudget(int(config.memory_mb * STREAMING_FRACTION) << 20)
+        self.memory_limits = memory_limits(config.memory_mb, private_bytes())
+        self.budget = BufferBudget(self.memory_limits.message_bytes)
         self.log = (config.log or Log)(sys.stdout.fileno(), config.name)
         self.listener = Listener(config.listen, self)
         self.management = ManagementServer(config.management, self) if config.management else None
@@ -87,6 +86,8 @@
         self.is_sole_process = self.process_lock.is_sole_process()
         if self.is_sole_process:
             self.listener.listen()
+        else:
+            self.budget.max_bytes //= 2  # During a takeover, two processes share the memory.
         self.exit_requested = Event()
         self.monitor = ProcessMonitor(self)
         self.timer = Timer(self.clock, self._timer_fired)
@@ -104,7 +105,7 @@
             config.seed,
             config.settings,
             self.clock.now(),
-            sockets,
+            min(sockets, self.memory_limits.connections),
             config.discovery,
             config.document,
             self.is_sole_process,
@@ -217,6 +218,7 @@
     def _wait_until_sole_process(self):
         while not self.process_lock.is_sole_process():
             gevent.sleep(POLL_INTERVAL_S)
+        self.budget.max_bytes = self.memory_limits.message_bytes
         self.handle_event(SoleProcess())
 
     def follow(self, address: str | None, index: int | None = None):
@@ -380,5 +382,5 @@
             connection.io = None
 
     def _connect(self, connection):
-        connection.io = UpstreamHandler(connection, self.handle_event)
+        connection.io = UpstreamHandler(connection, self.handle_event, self.budget)
         self.spawn(connection.io.run, connection.io)
--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -7,7 +7,13 @@
 from gevent.event import Event
 
 from pierglade.proxy import socket_io
-from pierglade.proxy.http.body_stream import BodyStream
+from pierglade.proxy.http.body_stream import (
+    SMALL_WINDOW,
+    STREAM_RESERVATION_BYTES,
+    WINDOW,
+    BodyStream,
+    BufferBudget,
+)
 from pierglade.proxy.http.reader import ProtocolError, ResponseReader
 from pierglade.proxy.state.connections import IDLE, CloseCause
 from pierglade.proxy.state.events import (
@@ -19,12 +25,16 @@
     UpstreamConnected,
 )
 
+UNLIMITED_BYTES = 1 << 62  # the budget where none is given
+
 
 class UpstreamHandler:
     """Reads and writes the socket of one connection to a backend; events go to `handle_event`."""
 
-    def __init__(self, connection, handle_event: Callable):
+    def __init__(self, connection, handle_event: Callable, budget: BufferBudget | None = None):
         self.connection, self.handle_event = connection, handle_event
+        # Memory for responses; `reserved_bytes` of it are in use here.
+        self.budget, self.reserved_bytes = budget or BufferBudget(UNLIMITED_BYTES), 0
         # Why no socket could be made, if so; `sock` is None then.
         self.socket_error = None
         try:
@@ -47,6 +57,7 @@
             self._run()
         finally:
             self.responses.drop()
+            self._reserve(0)
 
     def _run(self):
         try:
@@ -74,7 +85,10 @@
                     self.read_resumed.clear()
                     self.read_resumed.wait()
                     continue
-                if not (byte_count := self.sock.recv_into(self.responses.writable())):
+                buffer = self.responses.writable()
+                if not self.responses.is_streamed and not self._reserve_for_reader():
+                    continue
+                if not (byte_count := self.sock.recv_into(buffer)):
                     break
                 self.responses.filled(byte_count)
                 self._handle_input()
@@ -118,12 +132,44 @@
 
     def _begin_body(self, message):
         has_length = self.responses.unsized_body is None
+        is_small = not self._reserve(STREAM_RESERVATION_BYTES)
+        if is_small:
+            self._reserve(0)
+            self.responses.stream_buffer_bytes = SMALL_WINDOW
         message.body_stream = self.body_stream = BodyStream(
-            self.responses.length if has_length else None, self.read_resumed.set
+            self.responses.length if has_length else None,
+            self.read_resumed.set,
+            window=SMALL_WINDOW if is_small else WINDOW,
         )
         self.body_stream.add(self.responses.piece())
         self.handle_event(ResponseReceived(self.connection, message))
 
+    def _reserve(self, byte_count):
+        """Changes the reservation to `byte_count`; returns False if there is no memory for it."""
+        more = byte_count - self.reserved_bytes
+        if more > 0 and not self.budget.reserve(more):
+            return False
+        self.budget.release(max(0, -more))
+        self.reserved_bytes = byte_count
+        return True
+
+    def _reserve_for_reader(self):
+        """Reserves what the reader holds; without memory, streams the response.
+
+        Returns whether the buffer that was returned last is still to be read into.
+        """
+        needed = self.responses.extra_bytes()
+        if needed == self.reserved_bytes or self._reserve(needed):
+            return True
+        if self.connection.attempt is not None and self.responses.head_complete:
+            # A response that is streamed takes little memory, but can't be replaced by a retry.
+            self.stream_response()
+            if self.responses.is_streamed:
+                return False
+        self.budget.force(needed - self.reserved_bytes)
+        self.reserved_bytes = needed
+        return True
+
     def stream_response(self):
         """Reports the response being read as received; the rest of its body is streamed."""
         message = self.responses.begin_stream()
--- a/tests/proxy/test_large_bodies.py
+++ b/tests/proxy/test_large_bodies.py
@@ -270,7 +270,7 @@
         self.check("large_unsized_late", harness.lines)
 
     def test_stream_begins_in_the_middle_of_a_response(self):
-        """The body is whole, whether a chunk or the connection ends it; others are not begun."""
+        """The body is whole, however it ends; none is begun without a final head."""
         chunked = b"HTTP/1.1 200 .\r\nTransfer-Encoding: chunked\r\n\r\n"
         lines = []
         for first, rest in (
