Clients that send at full speed share one slice of each turn of the event loop

Now a connection whose input took more than 5% of the CPU lately waits its turn: all of these together get 2 ms of each turn, or what others leave (turn_limiter.py); 200 lines of chunks are parsed at once.

--- a/pierglade/proxy/downstream.py
+++ b/pierglade/proxy/downstream.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from collections import deque
+from time import monotonic_ns
 
 import gevent
 from gevent import socket
@@ -17,7 +18,7 @@
     BodyStream,
 )
 from pierglade.proxy.http.message import CONTINUE_RESPONSE
-from pierglade.proxy.http.reader import ProtocolError, RequestReader
+from pierglade.proxy.http.reader import CHUNK_LINES_PER_STEP, ProtocolError, RequestReader
 from pierglade.proxy.state.constants import NEVER
 from pierglade.proxy.state.events import (
     BodyReceived,
@@ -29,6 +30,7 @@
     ResponseProgressed,
     ResponseSent,
 )
+from pierglade.proxy.turn_limiter import CpuUse
 
 # Maximum number of reads of pipelined requests whose time is stored. It is bounded because a client
 # may send one byte at a time.
@@ -69,11 +71,12 @@
             server.prepared_rejection,
         )
         self.server, self.admission_queue, self.address = server, server.admission_queue, address
-        self.monitor = server.monitor
+        self.monitor, self.turn_limiter = server.monitor, server.turn_limiter
+        self.cpu_use = CpuUse()
         # The ConnectionAdmission that admitted the connection; None: there are no limits.
         self.admission = server.state_machine.descriptors.admission
         self.now = server.clock.now
-        self.requests = RequestReader()
+        self.requests = self._new_reader()
         self.read_resumed = Event()
         # Whether data is discarded because it follows a malformed request or the last response.
         self.is_discarding = False
@@ -95,6 +98,7 @@
         # paused, and what came meanwhile is not read yet.
         self.window_open_since = 0
         self.request_read_at = 0  # when the last bytes were read (ticks)
+        self.is_next_scheduled = False  # whether a pipelined request is about to be handled
         self.is_reading_paused = False  # because pipelined requests fill the buffer
         # (bytes read by then, time) of reads while requests wait behind the current one.
         self.pipelined_reads = deque()
@@ -120,14 +124,13 @@
                     self.read_resumed.clear()
                     self.read_resumed.wait()
                     continue
+                if self.is_next_scheduled and not self.is_discarding:
+                    self._pause_reading()
+                    continue
                 buffer = DISCARD_BUFFER if self.is_discarding else self.requests.writable()
                 if buffer is None:
-                    # Pipelined requests fill the buffer. Until a response is sent, nothing more is
-                    # read, and the end of the stream is not detected.
-                    self.is_reading_paused = True
-                    self.read_resumed.clear()
-                    self.read_resumed.wait()
-                    self.is_reading_paused = False
+                    # Pipelined requests fill the buffer until a response is sent.
+                    self._pause_reading()
                     continue
                 if not self.is_discarding and not self._reserve_for_reader():
                     self._reject_for_memory()
@@ -153,6 +156,19 @@
             self._abort_body()
         self.handle_event(ClientDisconnected(self.client, reason))
 
+    def _pause_reading(self):
+        """Reads nothing more for now; meanwhile the end of the stream is not detected."""
+        self.is_reading_paused = True
+        self.read_resumed.clear()
+        self.read_resumed.wait()
+        self.is_reading_paused = False
+
+    @staticmethod
+    def _new_reader():
+        message_reader = RequestReader()
+        message_reader.max_chunk_lines = CHUNK_LINES_PER_STEP
+        return message_reader
+
     def _receive(self, buffer):
         """Reads into `buffer`; notes when nothing was left to read, as the client was not done.
 
@@ -179,9 +195,17 @@
         """Handles `byte_count` bytes that were read; returns whether the connection is open."""
         self.requests.filled(byte_count)
         self.received += byte_count
-        if self.server.state_machine.balancers.load_shedder.threshold and self._reject_unparsed():
+        if self.is_next_scheduled:
+            self._note_pipelined()
             return True
         arrived_at = self.incomplete_at
+        if self.cpu_use.is_over_share():
+            arrived_at = min(arrived_at, self.arrival_time())
+            self.turn_limiter.wait()
+            if self.client.io is None:
+                return False  # This side has closed the connection during the wait.
+        if self.server.state_machine.balancers.load_shedder.threshold and self._reject_unparsed():
+            return True
         if self.admission_queue.full():
             arrived_at = min(arrived_at, self.arrival_time())
             self.admission_queue.wait(self.address, byte_count, self.is_known)
@@ -200,7 +224,9 @@
         """
         if self.body_stream is not None or self.admission_queue.is_overloaded():
             return False
+        began_ns = monotonic_ns()
         rejection = self.prepared_rejection(self.client, self.requests)
+        self.cpu_use.add(began_ns)
         if not rejection:
             return False
         self.requests.skip()
@@ -211,6 +237,19 @@
 
     def _handle_input(self, arrived_at=NEVER):
         """Handles the data that was read; `arrived_at`: its time, if before this turn."""
+        self._handle_step(arrived_at)
+        while self.requests.has_unparsed and not self.is_discarding:
+            self.turn_limiter.wait()
+            if self.client.io is None:
+                return
+            self._handle_step(arrived_at)
+
+    def _handle_step(self, arrived_at):
+        began_ns = monotonic_ns()
+        self._parse(arrived_at)
+        self.cpu_use.add(began_ns)
+
+    def _parse(self, arrived_at):
         try:
             if self.body_stream is not None:
                 return self._read_body_piece()
@@ -260,7 +299,7 @@
     def _drop_reader(self):
         """Replaces the reader by an empty one, as nothing more is read as a request."""
         self.requests.drop()
-        self.requests = RequestReader()
+        self.requests = self._new_reader()
         self.budget.release(self.reader_bytes)
         self.reader_bytes = 0
 
@@ -399,13 +438,18 @@
                 self.sock.shutdown(socket.SHUT_WR)
         else:
             self.requests.release()
-            if self.requests.has_more():
+            if self.requests.has_more() and not self.is_next_scheduled:
+                self.is_next_scheduled = True
                 # Each pipelined request is handled in its own turn of the loop, so that hundreds of
                 # them do not delay other connections.
                 gevent.spawn(self._handle_pipelined)
         self.read_resumed.set()
 
     def _handle_pipelined(self):
+        if self.cpu_use.is_over_share():
+            self.turn_limiter.wait()
+        self.is_next_scheduled = False
+        self.read_resumed.set()
         # The connection may have ended and its reader been dropped since this call was scheduled.
         if self.requests.parser is not None and not self.is_discarding and not self.requests.in_use:
             self._handle_input()
--- a/pierglade/proxy/http/reader.py
+++ b/pierglade/proxy/http/reader.py
@@ -24,6 +24,7 @@
 # Limit on a chunked body including its framing, as a multiple of the maximum body size. A larger
 # body has more framing than data.
 MAX_CHUNKING_OVERHEAD = 4
+CHUNK_LINES_PER_STEP = 200  # parsed at once; each takes some microseconds
 MAX_CHUNK_LINE_BYTES = 4096  # a line between or after chunks; extensions and trailers are short
 CHUNKED_HEAD = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one; backends need no more
@@ -96,10 +97,13 @@
         self.in_use = False  # whether the message that `next` returned is still in use
         self.interim_count = 0  # interim responses read before the current message
         self.stream_buffer_bytes = STREAM_BUFFER_BYTES
+        # Most lines and data of chunks that one call parses; None: all that was read.
+        self.max_chunk_lines = None
+        self.has_unparsed = False  # whether the last call stopped there
         self._begin()
 
     def _begin(self):
-        self.start = self.position
+        self.start, self.has_unparsed = self.position, False
         self.message = Message()
         self.parser = self.parser_type(self)
         self.head_complete = False  # the head was parsed
@@ -337,7 +341,12 @@
         return True
 
     def _read_chunks(self):
+        parsed_count, self.has_unparsed = 0, False
         while self.position < self.end and not self.body_complete:
+            if parsed_count == self.max_chunk_lines:
+                self.has_unparsed = True
+                return
+            parsed_count += 1
             limit = self.chunk_framer.end_of_step(self.buffer, self.position, self.end)
             self._feed(self.view[self.position : limit])
             self.chunk_framer.step_parsed()
--- a/pierglade/proxy/server.py
+++ b/pierglade/proxy/server.py
@@ -54,6 +54,7 @@
 )
 from pierglade.proxy.state.machine import ProxyStateMachine
 from pierglade.proxy.takeover import POLL_INTERVAL_S, ProcessLock
+from pierglade.proxy.turn_limiter import TurnLimiter
 from pierglade.proxy.upstream import UpstreamHandler
 from pierglade.reconfiguration import quota_changes
 
@@ -152,6 +153,7 @@
         self._pending_events, self.is_applying_events = deque(), False
         self.loop_monitor = EventLoopMonitor(self.clock)
         self.admission_queue = AdmissionQueue(self.clock, self.loop_monitor)
+        self.turn_limiter = TurnLimiter()
         self.effect_handlers = {
             SendResponse: lambda client, head, body, chunked: client.io.answer(
                 head, body, client.last, chunked
@@ -382,5 +384,7 @@
             connection.io = None
 
     def _connect(self, connection):
-        connection.io = UpstreamHandler(connection, self.handle_event, self.budget)
+        connection.io = UpstreamHandler(
+            connection, self.handle_event, self.budget, self.turn_limiter
+        )
         self.spawn(connection.io.run, connection.io)
--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -14,7 +14,7 @@
     BodyStream,
     BufferBudget,
 )
-from pierglade.proxy.http.reader import ProtocolError, ResponseReader
+from pierglade.proxy.http.reader import CHUNK_LINES_PER_STEP, ProtocolError, ResponseReader
 from pierglade.proxy.state.connections import IDLE, CloseCause
 from pierglade.proxy.state.events import (
     RequestNotSent,
@@ -24,6 +24,7 @@
     UpstreamClosed,
     UpstreamConnected,
 )
+from pierglade.proxy.turn_limiter import TurnLimiter
 
 UNLIMITED_BYTES = 1 << 62  # the budget where none is given
 
@@ -31,8 +32,15 @@
 class UpstreamHandler:
     """Reads and writes the socket of one connection to a backend; events go to `handle_event`."""
 
-    def __init__(self, connection, handle_event: Callable, budget: BufferBudget | None = None):
+    def __init__(
+        self,
+        connection,
+        handle_event: Callable,
+        budget: BufferBudget | None = None,
+        turn_limiter: TurnLimiter | None = None,
+    ):
         self.connection, self.handle_event = connection, handle_event
+        self.turn_limiter = turn_limiter
         # Memory for responses; `reserved_bytes` of it are in use here.
         self.budget, self.reserved_bytes = budget or BufferBudget(UNLIMITED_BYTES), 0
         # Why no socket could be made, if so; `sock` is None then.
@@ -42,6 +50,8 @@
         except OSError as error:
             self.sock, self.socket_error = None, error
         self.responses = ResponseReader()
+        if turn_limiter is not None:
+            self.responses.max_chunk_lines = CHUNK_LINES_PER_STEP
         # Whether the connection has been idle or has carried a response since it was established.
         self.is_reused = False
         self.is_request_written = (
@@ -92,6 +102,9 @@
                     break
                 self.responses.filled(byte_count)
                 self._handle_input()
+                while self.responses.has_unparsed:
+                    self.turn_limiter.wait()
+                    self._handle_input()
                 if self.responses.has_begun():
                     if self.connection.state is IDLE:
                         # Unsolicited bytes would be taken for the next response.
