A short write of the log is finished with the next one

The rest of a batch of lines was lost and left half a line, which readers of the log could not parse. The test failed before (a cut line) and passes.

--- a/pierglade/proxy/logging.py
+++ b/pierglade/proxy/logging.py
@@ -18,6 +18,7 @@
         self.fd, self.name = fd, name
         self.dropped = 0
         self.pending, self.size = [], 0
+        self.rest = b""  # of lines that a short write has cut
         self.poll = select.poll()
         self.poll.register(fd, select.POLLOUT)
 
@@ -44,7 +45,7 @@
     def flush(self):
         """Writes the pending lines, or drops them where writing would block."""
         lines, self.pending, self.size = self.pending, [], 0
-        if not lines:
+        if not lines and not self.rest:
             return
         if self.dropped:
             lines.insert(
@@ -55,7 +56,8 @@
             )
         try:
             if any(ready & select.POLLOUT for _, ready in self.poll.poll(0)):
-                os.write(self.fd, b"\n".join(lines) + b"\n")
+                data = b"".join((self.rest, *(line + b"\n" for line in lines)))
+                self.rest = data[os.write(self.fd, data) :]
                 self.dropped = 0
                 return
         except OSError:
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -248,6 +248,17 @@
         self.assertEqual([json.loads(line).get("lines") for line in last], [dropped, None])
         self.assertEqual(log.dropped, 0)
 
+    def test_log_lines_are_whole_behind_a_short_write(self):
+        reader, writer = os.pipe()
+        log, write = Log(writer, "n1"), os.write
+        with mock.patch("pierglade.proxy.logging.os.write", lambda fd, data: write(fd, data[:9])):
+            log.line(10, "first")
+            log.flush()
+        log.line(20, "second")
+        log.flush()
+        lines = [json.loads(line)["event"] for line in os.read(reader, 1 << 20).splitlines()]
+        self.assertEqual(lines, ["first", "second"])
+
     def test_timer_reports_its_lag(self):
         lags = []
         clock = mock.Mock(now=lambda: 1000)
