--- a/pierglade/config/structs.py
+++ b/pierglade/config/structs.py
@@ -127,7 +127,11 @@
     """Limits on the resources of the node and on its attempts."""
 
     sockets: _count("maximum number of file descriptors", 64, 1 << 20) = 1024
-    memory_mb: _count("MB; of what is left at the start, a fifth is for messages and 45% for connections", 16, 1 << 20) = 192
+    memory_mb: _count(
+        "MB; of what is left at the start, a fifth is for messages and 45% for connections",
+        16,
+        1 << 20,
+    ) = 192
     attempts: _count("maximum number of attempts per request", 1, 100) = msgspec.field(
         name="trips", default=3
     )
