--- a/pierglade/proxy/downstream.py
+++ b/pierglade/proxy/downstream.py
@@ -19,6 +19,7 @@
 )
 from pierglade.proxy.http.message import CONTINUE_RESPONSE
 from pierglade.proxy.http.reader import CHUNK_LINES_PER_STEP, ProtocolError, RequestReader
+from pierglade.proxy.request_arrival import RequestArrival
 from pierglade.proxy.state.constants import NEVER
 from pierglade.proxy.state.events import (
     BodyReceived,
@@ -43,8 +44,6 @@
 # Bytes of a body that may be on their way, in the buffers of both kernels: 4 MB is the largest send
 # buffer of a Linux socket by default. While more are missing, the client is still sending.
 MAX_BYTES_IN_TRANSIT = (1 << 22) + 2 * socket_io.RECEIVE_BUFFER_BYTES
-# Ticks (50 ms). Time in which the client's kernel sends what it has once this side reads again.
-MAX_SEND_DELAY = 500
 # Ticks (50 ms). Time since the last read after which a client may have left for too long: a request
 # must not be sent on 100 ms after its client has closed.
 MAX_UNSEEN_TICKS = 500
@@ -92,11 +91,7 @@
         self.arrival_time = server.arrival_time
         self.received = 0  # bytes read in all
         self.loop_monitor = server.loop_monitor
-        # When the client had certainly not sent all of its current request (ticks).
-        self.incomplete_at = self.loop_monitor.arrived_at
-        # Since when the client's kernel could send all that it had (ticks). None: reading was
-        # paused, and what came meanwhile is not read yet.
-        self.window_open_since = 0
+        self.arrival = RequestArrival(server.loop_monitor, self.now)
         self.request_read_at = 0  # when the last bytes were read (ticks)
         self.is_next_scheduled = False  # whether a pipelined request is about to be handled
         self.is_reading_paused = False  # because pipelined requests fill the buffer
@@ -120,7 +115,7 @@
                     and not self.is_discarding
                 ):
                     # The body is written upstream more slowly than the client sends it.
-                    self.window_open_since = None
+                    self.arrival.reading_paused()
                     self.read_resumed.clear()
                     self.read_resumed.wait()
                     continue
@@ -170,25 +165,12 @@
         return message_reader
 
     def _receive(self, buffer):
-        """Reads into `buffer`; notes when nothing was left to read, as the client was not done.
-
-        After a pause, what the client has sent may still be in its own kernel when the buffer of
-        this side is empty for a moment.
-        """
-        polled_ns, body = self.loop_monitor.poll_ended_ns, self.body_stream
-        open_since = self.now() if self.window_open_since is None else self.window_open_since
-        if body is not None:
-            body.awaited_from = open_since + MAX_SEND_DELAY
+        """Reads into `buffer`; returns the number of bytes."""
+        body = self.body_stream
+        begins_request = body is None and not self.requests.has_begun()
+        self.arrival.read_begins(body)
         byte_count = self.sock.recv_into(buffer)
-        if body is not None:
-            body.awaited_from = None
-        if self.loop_monitor.poll_ended_ns != polled_ns:
-            self.window_open_since = open_since
-            arrived_at = self.loop_monitor.arrived_at
-            if arrived_at >= open_since + MAX_SEND_DELAY:
-                self.incomplete_at = arrived_at
-        elif not self.requests.has_begun() and body is None:
-            self.incomplete_at = self.loop_monitor.arrived_at  # A request begins with this read.
+        self.arrival.read_ended(body, begins_request)
         return byte_count
 
     def _handle_read(self, byte_count):
@@ -198,7 +180,7 @@
         if self.is_next_scheduled:
             self._note_pipelined()
             return True
-        arrived_at = self.incomplete_at
+        arrived_at = self.arrival.incomplete_at
         if self.cpu_use.is_over_share():
             arrived_at = min(arrived_at, self.arrival_time())
             self.turn_limiter.wait()
@@ -327,7 +309,7 @@
         body.incomplete_at = (
             self.loop_monitor.arrived_at
             if requests.unsized_body is None and requests.remaining > MAX_BYTES_IN_TRANSIT
-            else self.incomplete_at
+            else self.arrival.incomplete_at
         )
         if requests.body_complete:
             body.finish()
