A request rejected for want of memory or descriptors is told when to come back

Rule: a rejection says Retry-After. Requests for which there was no memory, or whose place was needed by others, got a 503 without it, as these were sent as errors. Both are rejected like others now.

--- a/pierglade/proxy/state/descriptors.py
+++ b/pierglade/proxy/state/descriptors.py
@@ -107,7 +107,7 @@
                 # the longest time gets a 503.
                 slow = next(iter(self.downstream.by_state[READING_REQUEST]), None)
                 if slow is not None:
-                    self.downstream.refuse(slow, 503, last=True)
+                    self.downstream.reject_last(slow)
                 return False
         return self.open_count <= self.limit + RESERVED_DESCRIPTORS // 2
 
--- a/pierglade/proxy/state/downstream.py
+++ b/pierglade/proxy/state/downstream.py
@@ -204,6 +204,8 @@
             IDLE,
             READING_REQUEST,
         ):
+            if status == 503:  # The request is sound, and there is no memory for it.
+                return self.reject_last(client)
             self.refuse(client, status, reason, last=True)
         client.last = True
 
@@ -321,6 +323,11 @@
         else:
             self.respond(request.caller_context, 504)
 
+    def reject_last(self, client):
+        """Rejects the request of a client, which is closed after it."""
+        client.last = True
+        self.reject(client, self.requests.balancers.current)
+
     def reject(self, client, balancer):
         """Rejects a request that may be retried: 503, with Retry-After if that is enabled."""
         wait = balancer.retry_after(self.step.now)
--- a/tests/proxy/state/test_machine.py
+++ b/tests/proxy/state/test_machine.py
@@ -1,6 +1,7 @@
 """Event sequences through the whole proxy state machine: events in, effects out, no sockets."""
 
 import re
+import unittest
 from unittest import mock
 
 from pierglade.model.decision import CancelAttempt
@@ -14,6 +15,7 @@
     ConfigurationLoaded,
     DiscoveryLost,
     EndpointsUpdated,
+    MalformedRequest,
     RequestReceived,
     RequestStarted,
     ResponsePartReceived,
@@ -23,7 +25,14 @@
     UpstreamConnected,
 )
 from pierglade.tenants.registry import TenantRegistry
-from tests.support.scene import StateMachineHarness, TraceTest, balancer_settings, entry, message
+from tests.support.scene import (
+    MS,
+    StateMachineHarness,
+    TraceTest,
+    balancer_settings,
+    entry,
+    message,
+)
 
 
 def desk_with_idle_connections():
@@ -772,3 +781,25 @@
         harness.response_sent("c0")
         harness.after(1000)
         self.check("node_stop_owed", harness.lines)
+
+
+class Rejections(unittest.TestCase):
+    def answer_to(self, reject):
+        harness = StateMachineHarness(["b0"], max_retry_after=2000 * MS)
+        harness.open("c0")
+        reject(harness)
+        return next(line for line in harness.lines if "SendResponse" in line)
+
+    def test_rejection_for_want_of_memory_says_when_to_come_back(self):
+        answer = self.answer_to(
+            lambda harness: harness.handle_event(MalformedRequest(harness.clients["c0"], 503))
+        )
+        self.assertIn("503 Service Unavailable|Retry-After: 0.1|", answer)
+
+    def test_rejection_for_want_of_descriptors_says_when_to_come_back(self):
+        def exhaust(harness):
+            harness.handle_event(RequestStarted(harness.clients["c0"]))
+            harness.state_machine.descriptors.limit = 0
+            harness.open("c1")
+
+        self.assertIn("503 Service Unavailable|Retry-After: 0.1|", self.answer_to(exhaust))
