A stream that begins at the deadline is not overtaken by the safety net in a late step

Callers saw 504 for an answer whose head had come in time. Cause: where the event loop was 2.5 ms late at a deadline, the timer that starts the stream and the safety net's were due in one step, and the second answered 504 before the first one's effect. Now the safety net waits while a stream is about to begin, 50 ms past the deadline at most.

--- a/pierglade/proxy/state/downstream.py
+++ b/pierglade/proxy/state/downstream.py
@@ -35,6 +35,8 @@
 # 2.5 s. Clients that stay connected after a single request would use up the descriptors that are
 # needed for upstream connections.
 CLIENT_IDLE_TIMEOUT = 25000
+# 50 ms; how late the stream of a response may begin that was due at the deadline
+MAX_STREAM_DELAY = 500
 LINGER_TIMEOUT = 10000  # 1 s; for a client to close after its last response
 
 
@@ -217,10 +219,22 @@
 
     def _deadline_overrun(self, client):
         """Answers at the deadline even if a bug prevented any other response."""
+        if self._stream_begins(client.request):
+            return self.timers.set_timer(
+                client, self.step.now + DEADLINE_MARGIN, self._deadline_overrun
+            )
         self.step.log("deadline_overrun", request_id=client.request_id)
         client.request.owner.client_disconnected(self.step.now, client.request)
         self.respond_without_backend(client.request, may_retry=False)
 
+    def _stream_begins(self, request):
+        """Returns whether a response is about to be streamed, in a step that began late."""
+        return self.step.now < request.deadline + MAX_STREAM_DELAY and any(
+            (connection := self.attempts.connections.get(attempt)) is not None
+            and connection.is_streamed_early
+            for attempt in request.attempts
+        )
+
     def refuse(self, client, status, reason="", last=False, allow=None):
         """Sends an error response; `reason`: one plain line for the developer of the client."""
         client.last = client.last or last
--- a/tests/proxy/test_large_bodies.py
+++ b/tests/proxy/test_large_bodies.py
@@ -20,6 +20,7 @@
     ResponsePartReceived,
     ResponseProgressed,
     ResponseReceived,
+    TimerFired,
 )
 from pierglade.proxy.upstream import UpstreamHandler
 from tests.proxy import test_sockets as test_net
@@ -269,6 +270,19 @@
         harness.handle_event(ResponseCompleted(link, True))
         self.check("large_unsized_late", harness.lines)
 
+    def test_response_is_streamed_where_the_event_loop_is_late_at_the_deadline(self):
+        harness = StateMachineHarness(["b0"])
+        harness.send_request("c0", "/pay", left=500)
+        harness.connect_upstream()
+        harness.after(30)
+        harness.handle_event(ResponsePartReceived(harness.links[-1], 0))
+        harness.now += 470 * MS  # both timers of the deadline are due in one step
+        harness.handle_event(TimerFired())
+        download(harness)
+        answers = [line for line in harness.lines if "SendResponse" in line]
+        self.assertEqual(len(answers), 1)
+        self.assertIn("HTTP/1.1 200 OK", answers[0])
+
     def test_stream_begins_in_the_middle_of_a_response(self):
         """The body is whole, however it ends; none is begun without a final head."""
         chunked = b"HTTP/1.1 200 .\r\nTransfer-Encoding: chunked\r\n\r\n"
