Streamed bodies together get a slice of each iteration of the event loop

Cause: each stream stays within its share of CPU time, so none of them waited its turn, but all of them together took 4 to 6 of the 7 ms of an iteration. Each piece also raised two events of the state machine, which only restart timeouts of seconds.

Change: after each piece, a stream waits its turn if others wait or the iteration has lasted for a slice; progress is reported once in 50 ms.

--- a/pierglade/proxy/downstream.py
+++ b/pierglade/proxy/downstream.py
@@ -16,6 +16,7 @@
     STREAM_RESERVATION_BYTES,
     WINDOW,
     BodyStream,
+    ProgressReports,
 )
 from pierglade.proxy.http.message import CONTINUE_RESPONSE
 from pierglade.proxy.http.reader import CHUNK_LINES_PER_STEP, ProtocolError, RequestReader
@@ -388,14 +389,15 @@
 
     def _stream_body(self, head, body, close_after, chunked):
         """Streams a response; if it is aborted, resets the connection to show it is incomplete."""
+        progress = ProgressReports()
+
+        def piece_sent():
+            if progress.is_due():
+                self.handle_event(ResponseProgressed(self.client))
+            self.turn_limiter.wait_if_busy()
+
         try:
-            socket_io.stream_body(
-                self.sock,
-                head,
-                body,
-                chunked,
-                lambda: self.handle_event(ResponseProgressed(self.client)),
-            )
+            socket_io.stream_body(self.sock, head, body, chunked, piece_sent)
         except OSError:
             body.abort_body()
         if body.is_aborted:
--- a/pierglade/proxy/http/body_stream.py
+++ b/pierglade/proxy/http/body_stream.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from time import monotonic_ns
 
 WINDOW = 1 << 15  # maximum bytes read and not yet written; more would only occupy memory
 # Memory that a streamed body takes: its window, the buffer that it is read into, and the piece that
@@ -15,6 +16,7 @@
 MAX_BUFFERED_BYTES = 1 << 20
 BUFFERED_FRACTION = 0.5  # of the budget, for bodies buffered whole; the rest is for streamed ones
 REQUEST_FRACTION = 0.7  # of the budget, for all of requests; the rest is for responses
+PROGRESS_INTERVAL_NS = 50000000  # 50 ms; progress restarts timeouts of seconds
 
 
 class BufferBudget:
@@ -112,3 +114,18 @@
     def is_not_repeatable(self) -> bool:
         """Returns whether a retry cannot send the body, as pieces were taken or it was aborted."""
         return self.is_partly_taken or self.is_aborted
+
+
+class ProgressReports:
+    """Tells when the progress of a body is to be reported: once per PROGRESS_INTERVAL_NS."""
+
+    def __init__(self):
+        self.due_ns = 0  # monotonic time of the next report
+
+    def is_due(self) -> bool:
+        """Returns whether to report a piece that was moved now."""
+        now_ns = monotonic_ns()
+        if now_ns < self.due_ns:
+            return False
+        self.due_ns = now_ns + PROGRESS_INTERVAL_NS
+        return True
--- a/pierglade/proxy/server.py
+++ b/pierglade/proxy/server.py
@@ -153,7 +153,7 @@
         self._pending_events, self.is_applying_events = deque(), False
         self.loop_monitor = EventLoopMonitor(self.clock)
         self.admission_queue = AdmissionQueue(self.clock, self.loop_monitor)
-        self.turn_limiter = TurnLimiter()
+        self.turn_limiter = TurnLimiter(self.loop_monitor)
         self.effect_handlers = {
             SendResponse: lambda client, head, body, chunked: client.io.answer(
                 head, body, client.last, chunked
--- a/pierglade/proxy/turn_limiter.py
+++ b/pierglade/proxy/turn_limiter.py
@@ -3,7 +3,7 @@
 A client that sends at full speed always has input to handle. If that was handled as it arrives, the
 input of all others would wait for it in each iteration. A connection that used more than its share
 waits its turn here; all of these together get one slice of each iteration, or all of the time that
-others leave.
+others leave. So do streamed bodies: each of hundreds may be within its share, but not all of them.
 """
 
 from collections import deque
@@ -11,6 +11,8 @@
 
 import gevent
 
+from pierglade.proxy.event_loop import EventLoopMonitor
+
 SLICE_NS = 2000000  # 2 ms
 # Fraction of the CPU time that a connection may use without waiting: some hundred requests/s.
 FREE_SHARE = 0.05
@@ -40,10 +42,16 @@
 class TurnLimiter:
     """Queues the greenlets of busy connections; each iteration resumes some, in their order."""
 
-    def __init__(self):
-        self.hub = gevent.get_hub()
+    def __init__(self, loop_monitor: EventLoopMonitor):
+        self.hub, self.loop_monitor = gevent.get_hub(), loop_monitor
         self.waiting, self.timer = deque(), None
 
+    def wait_if_busy(self):
+        """Blocks the current greenlet until its turn, if others wait or the iteration is long."""
+        lasted_ns = monotonic_ns() - self.loop_monitor.poll_ended_ns
+        if self.waiting or lasted_ns > SLICE_NS:
+            self.wait()
+
     def wait(self):
         """Blocks the current greenlet until its turn."""
         self.waiting.append(gevent.getcurrent())
--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -13,6 +13,7 @@
     WINDOW,
     BodyStream,
     BufferBudget,
+    ProgressReports,
 )
 from pierglade.proxy.http.reader import CHUNK_LINES_PER_STEP, ProtocolError, ResponseReader
 from pierglade.proxy.state.connections import IDLE, CloseCause
@@ -59,6 +60,7 @@
         )
         # The BodyStream being read, where the response is too large to buffer.
         self.body_stream = None
+        self.progress = ProgressReports()
         self.read_resumed = Event()
 
     def run(self):
@@ -128,7 +130,8 @@
         while True:
             if self.body_stream is not None:
                 self.body_stream.add(self.responses.piece())
-                self.handle_event(ResponsePartReceived(self.connection))
+                if self.progress.is_due():
+                    self.handle_event(ResponsePartReceived(self.connection))
                 if not self.responses.body_complete:
                     return
                 self._finish_body(self.responses.message)
@@ -303,7 +306,7 @@
                     head,
                     body,
                     body.length is None,
-                    lambda: None,
+                    self._body_piece_sent,
                     lambda: not self._has_no_client(),
                 )
                 if not self.is_request_written and not body.is_aborted:
@@ -331,6 +334,10 @@
                 ),
             )
 
+    def _body_piece_sent(self):
+        if self.turn_limiter is not None:
+            self.turn_limiter.wait_if_busy()
+
     def _client_left(self):
         """Ends the attempt: a backend executes a request only once it has the last byte."""
         if self.connection.attempt is not None:
