--- a/pierglade/proxy/state/descriptors.py
+++ b/pierglade/proxy/state/descriptors.py
@@ -15,6 +15,7 @@
 # longest idle first.
 MAX_CLIENT_RATIO = 0.25
 MIN_IDLE_BEFORE_CLOSE = 1000  # 100 ms; a connection idle for less is likely to be used soon
+MIN_NEW_CLIENTS = RESERVED_DESCRIPTORS // 2  # else a crowd would wait for seconds to be rejected
 MIN_SILENCE_BEFORE_CLOSE = 200  # 20 ms; a normal client sends its first request earlier
 
 
@@ -76,8 +77,12 @@
         self.step.log("connections_rejected", reason=reasons, addresses=dict(addresses))
 
     def max_new_clients(self, maximum):
-        """Returns how many clients, up to `maximum`, may connect before others must be closed."""
-        return max(1, min(maximum, self.limit // 2 - self.open_count))
+        """Returns how many clients, up to `maximum`, may connect before ended ones are closed.
+
+        Each may need an upstream connection too. Some may exceed the limit: they are closed after
+        their first response.
+        """
+        return max(MIN_NEW_CLIENTS, min(maximum, (self.limit - self.open_count) // 2))
 
     def free_descriptors(self, newcomer):
         """Closes the least needed connections; returns whether there is a free descriptor."""
