--- a/pierglade/experiment/play.py
+++ b/pierglade/experiment/play.py
@@ -20,24 +20,38 @@
 SAMPLE_INTERVAL_S = 0.5  # between samples of the CPU and memory use of the nodes
 POLL_INTERVAL_S = 1.0  # between requests for the backends' states to each node
 POLL_TIMEOUT_S = 0.4  # a node that does not respond in time is skipped in this poll
-READY_TIMEOUT_S = 8.0  # for all nodes to become ready
+READY_TIMEOUT_S = 8.0  # for all nodes to become ready, if the lead is not longer
+MAX_STARTS = 3  # each with twice the lead of the one before
 
 
 class RunFailedError(Exception):
     """The run failed or its result is invalid; the message is one line."""
 
 
+class StartedTooLateError(RunFailedError):
+    """The processes were not ready when the load was due to start, as the machine is busy."""
+
+
 def run_experiment(plan, folder, build, progress=lambda fraction: None):
     """Runs `plan` (an Experiment) with nodes of `build`; returns the summary.
 
     Creates `folder` with plan.json, summary.json, samples.json, breaks.json, backends.jsonl,
-    clients-N.jsonl and node-N.log. Raises RunFailedError if there is no valid result. Raises
-    StoppedBySignalError after a signal; if the load had started, a summary that is marked as
-    partial is written before.
+    clients-N.jsonl and node-N.log. Processes that are not ready in time are started again. Raises
+    RunFailedError if there is no valid result. Raises StoppedBySignalError after a signal; if the
+    load had started, a summary that is marked as partial is written before.
     """
     os.makedirs(folder, exist_ok=True)
     _write_json(folder, "plan.json", {**plan.raw, "build": build.label})
-    run = _ExperimentRun(plan, folder, build, progress)
+    lead_s = LEAD_S + LEAD_PER_NODE_S * plan.nodes.count
+    for _ in range(MAX_STARTS - 1):
+        try:
+            return _run_once(_ExperimentRun(plan, folder, build, progress, lead_s))
+        except StartedTooLateError:
+            lead_s *= 2
+    return _run_once(_ExperimentRun(plan, folder, build, progress, lead_s))
+
+
+def _run_once(run):
     try:
         with Children() as children:
             run.children = children
@@ -63,8 +77,9 @@
 class _ExperimentRun:
     """The state of one run: its processes, samples and results."""
 
-    def __init__(self, plan, folder, build, progress):
+    def __init__(self, plan, folder, build, progress, lead_s):
         self.plan, self.folder, self.build, self.progress = plan, folder, build, progress
+        self.lead_s = lead_s  # from the start of the fleet to the start of the load
         self.children = self.worker_pool = self.start_time = self.start_unix_ms = None
         self.stopped_by, self.fleet_summary, self.recorder = "", {}, None
         self.samples, self.excluded = [], []
@@ -77,8 +92,7 @@
     def execute(self):
         """Starts all processes, sends the load, samples the nodes, ends the nodes and the fleet."""
         plan = self.plan
-        lead_s = LEAD_S + LEAD_PER_NODE_S * plan.nodes.count
-        fleet = self._start_fleet(lead_s)
+        fleet = self._start_fleet()
         management_addresses = [f"127.0.0.1:{free_port()}" for _ in range(plan.nodes.count)]
         self.nodes = [
             nodes.start(
@@ -95,10 +109,12 @@
         self._set_cpu_affinity()
         self._wait_until_ready()
         clock_offset = time.time() - time.monotonic()
-        self.start_unix_ms = fleet["began_ms"] + lead_s * 1000
+        self.start_unix_ms = fleet["began_ms"] + self.lead_s * 1000
         self.start_time = self.start_unix_ms / 1000 - clock_offset
         if time.monotonic() > self.start_time - 0.2:
-            raise RunFailedError(f"the nodes did not start within the lead time of {lead_s:g} s")
+            raise StartedTooLateError(
+                f"the nodes did not start within the lead time of {self.lead_s:g} s"
+            )
         self.worker_pool = loads.WorkerPool(
             [(load, (0, 1)) for load in self._client_loads()], self.start_time
         )
@@ -118,8 +134,8 @@
             self.children.end(name)
         self.fleet_summary = msgspec.json.decode(self.children.end("fleet")[-1])
 
-    def _start_fleet(self, lead_s):
-        raw = self.plan.fleet_tables(lead_s)
+    def _start_fleet(self):
+        raw = self.plan.fleet_tables(self.lead_s)
         raw["ledger"] = {"path": os.path.abspath(self.path("backends.jsonl")), "most_mb": 512.0}
         _write_json(self.children.folder.name, "fleet.json", raw)
         return self.children.start(
@@ -141,19 +157,17 @@
         psutil.Process().cpu_affinity(other_cores)
 
     def _wait_until_ready(self):
-        deadline, pending = (
-            time.monotonic() + READY_TIMEOUT_S,
-            [address for _, address in self.nodes],
-        )
+        timeout_s = max(READY_TIMEOUT_S, self.lead_s)
+        deadline, pending = time.monotonic() + timeout_s, [address for _, address in self.nodes]
         while pending:
             self.children.raise_if_exited()
             pending = [
                 address for address in pending if _http_get(address, "/health/ready")[0] != 200
             ]
             if time.monotonic() > deadline:
-                raise RunFailedError(
+                raise StartedTooLateError(
                     f"{len(pending)} of {len(self.nodes)} nodes were not ready within "
-                    f"{READY_TIMEOUT_S:g} s"
+                    f"{timeout_s:g} s"
                 )
             if pending:
                 time.sleep(0.05)
@@ -229,6 +243,9 @@
             gaps += missing
         clients.sort(key=lambda row: row["t_ms"])
         backends, missing = records.read(self.path("backends.jsonl"))
+        if self.stopped_by:
+            # What was in flight has no end in the records, even if no line of them is cut.
+            gaps.append(records.TraceGap(self.folder, 0, f"stopped by {self.stopped_by}"))
         budget = plan.rules.further_span_s and (
             plan.rules.further_span_s,
             plan.rules.further_most,
--- a/tests/experiment/test_experiment.py
+++ b/tests/experiment/test_experiment.py
@@ -8,11 +8,14 @@
 import sys
 import tempfile
 import time
+import types
+import unittest
+import unittest.mock
 from concurrent.futures import ThreadPoolExecutor
 
 import psutil
 
-from pierglade.experiment import compare, plan, report, sums
+from pierglade.experiment import compare, plan, play, report, sums
 from pierglade.simulation.plan import InvalidPlanError
 from tests.support.scene import TraceTest
 
@@ -213,6 +216,40 @@
     )
 
 
+class Starts(unittest.TestCase):
+    """Runs on a busy machine, and runs that are stopped."""
+
+    BUILD = types.SimpleNamespace(label="build")
+
+    def test_a_start_that_came_too_late_is_repeated_with_a_longer_lead(self):
+        """Guards against runs without a result where processes start slowly."""
+        leads = []
+
+        def start(run):
+            leads.append(run.lead_s)
+            raise play.StartedTooLateError("late")
+
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            unittest.mock.patch.object(play, "_run_once", start),
+            self.assertRaises(play.StartedTooLateError),
+        ):
+            play.run_experiment(plan.plan_from(BASE_PLAN, "FILE"), folder, self.BUILD)
+        self.assertEqual([lead_s / leads[0] for lead_s in leads], [1, 2, 4])
+
+    def test_a_stopped_run_decides_no_rule_though_no_line_is_cut(self):
+        """Guards against rules that are said to hold for requests whose end was not seen."""
+        with tempfile.TemporaryDirectory() as folder:
+            run = play._ExperimentRun(
+                plan.plan_from(BASE_PLAN, "FILE"), folder, self.BUILD, None, 1
+            )
+            row = {"t_ms": 1.0, "event": "began"}
+            for name in ("clients-0", "clients-1", "backends"):
+                pathlib.Path(folder, name + ".jsonl").write_text(json.dumps(row) + "\n")
+            run.start_unix_ms, run.stopped_by = 0, "SIGINT"
+            self.assertEqual(set(run.summary()["rules"].values()), {None})
+
+
 class Plays(TraceTest):
     """Whole runs of the `experiment` command."""
 
