Failing tests: a small answer with a length is cut off at a pause

The open risk of the postmortem, now shown on node processes: an answer of 15,000 bytes with a length that pauses for 1.3 s in its middle, with 2.5 s to wait. The unsafe request gets 504 1 s after the first bytes although no retry is possible; the safe one is cut off at each backend in turn (503). The third test, answers that never end are given up in time, is green.

--- a/tests/proxy/test_slow_backends.py
+++ b/tests/proxy/test_slow_backends.py
@@ -84,10 +84,17 @@
         except OSError:
             self.cut_off.append(received.trace_id)
 
-    def check(self, head, pauses, sizes, wait_ms=WAIT_MS, head_pause_s=0.0):
+    def check(
+        self,
+        head,
+        pauses,
+        sizes,
+        wait_ms=WAIT_MS,
+        head_pause_s=0.0,
+        paths=("/check", "/hold", "/settle"),
+    ):
         self.head_pause_s = head_pause_s
         self.plan = (head if isinstance(head, tuple) else (head,)), pauses, sizes
-        paths = ("/check", "/hold", "/settle")
         with ThreadPoolExecutor() as pool:
             answers = list(
                 pool.map(lambda path: self.node.ask(path, f"slow{path}", wait_ms), paths)
@@ -117,6 +124,26 @@
         head = (b"HTTP/1.1 200 OK\r\nConte", b"nt-Length: 135430\r\n\r\n")
         self.check(head, [0.0] * 10, [13543] * 10, head_pause_s=0.3)
 
+    def test_small_body_with_length_that_pauses_where_no_retry_is_possible(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 15000\r\n\r\n"
+        self.check(head, [0.0, 1.3, 0.1], [5000] * 3, paths=("/settle",))
+
+    def test_small_body_with_length_that_pauses_at_each_backend(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 15000\r\n\r\n"
+        self.plan, self.head_pause_s = ((head,), [0.0, 1.3, 0.1], [5000] * 3), 0.0
+        for path in ("/check", "/hold"):
+            answer = self.node.ask(path, f"slow{path}", WAIT_MS)
+            self.assertEqual((answer.status, len(answer.body)), (200, 15000), path)
+
+    def test_small_body_with_length_that_never_ends_is_given_up_in_time(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 15000\r\n\r\nbegun"
+        self.plan, self.head_pause_s = ((head,), [], []), 20.0
+        for path in ("/check", "/hold", "/settle"):
+            sent_at = time.monotonic()
+            answer = self.node.ask(path, f"stuck{path}", 1500)
+            self.assertLess(answer.at - sent_at, 1.5 + ANSWER_LIMIT_S, path)
+            self.assertIn(answer.status, (503, 504), path)
+
     def test_body_that_never_goes_on_is_ended_in_time(self):
         for first in (b"", b"5\r\nfirst\r\n"):
             for wait_ms in (300, 1500):
