A small answer that pauses is waited for where no retry is possible

What callers saw: 504 one second after the first bytes of an answer whose rest came 0.3 s later, with 1.2 s left to wait; 503 for a safe request that was cut off at three backends in turn.

Cause: a pause of 1 s, or of half the time to the objective, was taken for an answer that never ends, and it was given up even if nothing could replace it.

Change: when the next piece is overdue, the balancer is asked whether a retry would be sent (attempts, budget, window, time, backends). If not, the answer is waited for until the deadline, which ends it in time.

--- a/pierglade/balancer/balancer.py
+++ b/pierglade/balancer/balancer.py
@@ -315,6 +315,10 @@
         elif not request.in_flight:
             self.dispatch.attempt_lost(now, request, outcome)
 
+    def may_retry_after_loss(self, now: int, request: Request) -> bool:
+        """Returns whether the request would be sent again if its attempts were lost now."""
+        return not request.completed and self.dispatch.may_retry_after_loss(now, request)
+
     def response_started(self, attempt: Attempt) -> None:
         """Records that the response has started; the attempt then belongs to the client."""
         attempt.cancelled = attempt.request.completed = True
--- a/pierglade/balancer/dispatch.py
+++ b/pierglade/balancer/dispatch.py
@@ -176,23 +176,26 @@
             return RejectRequest(request, 0)
         return FailRequest(request)
 
-    def attempt_lost(self, now: int, request: Request, outcome: Outcome) -> None:
-        """Queues a retry of a request whose attempt was lost, or decides its final answer."""
-        # A request that was lost at every ready backend has no backend left and is not queued
-        # again.
-        may_retry = (
+    def may_retry_after_loss(self, now: int, request: Request) -> bool:
+        """Returns whether the request is sent again if all of its attempts are lost now.
+
+        A request that was lost at every ready backend has no backend left.
+        """
+        return (
             self._retry_budget.remaining(now) >= 1
             and not self._deadlines.is_too_late(request, now)
-            and outcome != Outcome.NOT_SENT
             and any(
-                self._retry_rules.may_send(request, backend, now)
+                self._retry_rules.may_send_after_loss(request, backend, now)
                 for backend in self._rotation.subset
             )
             and not {attempt.backend for attempt in request.attempts}.issuperset(
                 self._rotation.by_rank
             )
         )
-        if may_retry:
+
+    def attempt_lost(self, now: int, request: Request, outcome: Outcome) -> None:
+        """Queues a retry of a request whose attempt was lost, or decides its final answer."""
+        if outcome != Outcome.NOT_SENT and self.may_retry_after_loss(now, request):
             self._retry_budget.retry_granted()
             request.queued_since = now
             self._queue.retries.append(request)
--- a/pierglade/balancer/retry.py
+++ b/pierglade/balancer/retry.py
@@ -218,12 +218,12 @@
 
     def may_send(self, request: Request, backend: int, now: int) -> bool:
         """Returns whether the request may be sent to this backend."""
+        return not request.in_flight and self.may_send_after_loss(request, backend, now)
+
+    def may_send_after_loss(self, request: Request, backend: int, now: int) -> bool:
+        """Returns whether the request may be sent to this backend if its attempts are lost now."""
         request_class = request.request_class
-        if (
-            now >= request.deadline
-            or len(request.attempts) >= self._max_attempts
-            or request.in_flight
-        ):
+        if now >= request.deadline or len(request.attempts) >= self._max_attempts:
             return False
         executed = request.first_possibly_executed
         if executed is None or request_class.idempotency == Idempotency.SAFE:
--- a/pierglade/proxy/state/responses.py
+++ b/pierglade/proxy/state/responses.py
@@ -12,7 +12,7 @@
 
 # Times are tenths of a millisecond.
 # 1 s; between two pieces of a head, or of a small body whose length is known: the response may be
-# malformed and never end
+# malformed and never end, so the request is retried where that is possible
 RESPONSE_PIECE_TIMEOUT = 10000
 MAX_TIME_LEFT_RATIO = 0.5  # of the time to the latency objective; the rest is for a retry
 # 1 s; how long a response of unknown length is held back at most, so that it can still be replaced
--- a/pierglade/proxy/state/upstream.py
+++ b/pierglade/proxy/state/upstream.py
@@ -102,6 +102,12 @@
         elif attempt is not None and self.step.now >= attempt.timeout_at - DEADLINE_MARGIN:
             self.attempts.abort(attempt, "timed out")
             self.attempts.report_outcome(attempt, Outcome.TIMEOUT)
+        elif attempt is not None and not attempt.request.owner.may_retry_after_loss(
+            self.step.now, attempt.request
+        ):
+            # The rest of the response may come until the deadline.
+            connection.response_piece_due_at = NEVER
+            self.restart_timeout(connection)
         else:
             self.disconnected(
                 connection,
