--- /dev/null
+++ b/tests/proxy/test_standstill.py
@@ -0,0 +1,84 @@
+"""A node process that stands still for a while, as a stopped or starved one does."""
+
+import signal
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from tests.support.node_process import Backend, Client, Discovery, NodeProcess, request, respond
+
+STANDSTILL_S = 0.8  # longer than the grace of a drain, 0.5 s
+CLIENTS = 12
+SLACK_S = 0.15  # of the deadline that a backend is told
+
+
+def serve(sock, received):
+    time.sleep(0.05)
+    respond(sock)
+
+
+class Standstill(unittest.TestCase):
+    def setUp(self):
+        self.backends = [Backend(f"b{n}", serve) for n in range(2)]
+        self.discovery = Discovery([each.entry() for each in self.backends])
+        self.node = NodeProcess(self.discovery).wait_ready()
+        with ThreadPoolExecutor(CLIENTS) as pool:  # leaves connections to both backends
+            list(pool.map(lambda n: self.node.ask("/settle", f"first-{n}"), range(CLIENTS)))
+
+    def tearDown(self):
+        self.node.close()
+        for each in (self.discovery, *self.backends):
+            each.close()
+
+    def play(self, wait_ms, before=lambda: None, after=lambda: None):
+        """Sends requests while the node stands still; returns their answers."""
+        clients = [Client(self.node.place) for _ in range(CLIENTS)]
+        time.sleep(0.2)
+        self.node.process.send_signal(signal.SIGSTOP)
+        time.sleep(0.05)
+        before()
+        for n, client in enumerate(clients):
+            client.send(request("/settle", f"during-{n}", wait_ms))
+        after()
+        time.sleep(STANDSTILL_S)
+        self.node.process.send_signal(signal.SIGCONT)
+        answers = [client.answer() for client in clients]
+        for client in clients:
+            client.close()
+        return answers
+
+    def received(self, backends):
+        return [
+            each
+            for backend in backends
+            for each in backend.received
+            if each.trace_id.startswith("during")
+        ]
+
+    def check_drain(self, **when):
+        answers = self.play(3000, **when)
+        self.assertEqual([each.status for each in answers], [200] * CLIENTS)
+        self.assertEqual(self.received([self.backends[0]]), [])
+
+    def drain(self):
+        self.discovery.tell(self.backends[0].entry("DRAINING"))
+
+    def test_nothing_is_sent_to_a_backend_that_drains_since_before_the_requests(self):
+        self.check_drain(before=self.drain)
+
+    def test_nothing_is_sent_to_a_backend_that_drains_since_after_the_requests(self):
+        self.check_drain(after=self.drain)
+
+    def test_nothing_is_sent_for_a_request_whose_time_was_up_meanwhile(self):
+        answers = self.play(300)
+        self.assertEqual(self.received(self.backends), [])
+        self.assertNotIn(200, [each.status for each in answers])
+        self.assertNotIn(0, [each.status for each in answers])
+
+    def test_backends_are_told_what_the_clients_have_left(self):
+        wait_ms = 2000
+        answers = self.play(wait_ms)
+        self.assertEqual([each.status for each in answers], [200] * CLIENTS)
+        longest_ms = wait_ms - 1000 * (STANDSTILL_S - SLACK_S)
+        for each in self.received(self.backends):
+            self.assertLess(int(each.fields["x-expires-in-ms"]), longest_ms)
