--- a/pierglade/proxy/id_exchange.py
+++ b/pierglade/proxy/id_exchange.py
@@ -21,6 +21,7 @@
 RECORD = struct.Struct(f"<{FINGERPRINT_BYTES}sQQ")
 SEQUENCE, SEQUENCE_BYTES = 2, 8  # its index in a record, and its size
 RING_BYTES = RECORD.size * MAX_IDS
+FILE_COUNT = 2  # one of each process
 READ_RECORDS = 64  # read at once
 # While no other process runs, records are written together after this time, and its start is looked
 # for as often. A process that finds another one waits for as long.
@@ -46,7 +47,7 @@
         stem = os.path.join(folder, "pierglade-" + re.sub(r"[^0-9.]", "-", address))
         self.files = []
         try:
-            for slot in range(2):
+            for slot in range(FILE_COUNT):
                 self.files.append(_open(f"{stem}.ids{slot}"))
             self._lock_one()
             if not _lock(self.files[1]):
--- a/pierglade/proxy/server.py
+++ b/pierglade/proxy/server.py
@@ -17,7 +17,7 @@
 from pierglade.proxy.downstream import DownstreamHandler
 from pierglade.proxy.event_loop import Clock, EventLoopMonitor, Timer, run_in_steps
 from pierglade.proxy.http.body_stream import BufferBudget
-from pierglade.proxy.id_exchange import IdFiles
+from pierglade.proxy.id_exchange import FILE_COUNT, IdFiles
 from pierglade.proxy.listener import Listener
 from pierglade.proxy.logging import Log
 from pierglade.proxy.management import MAX_CONNECTIONS, ManagementServer
@@ -100,6 +100,7 @@
         sockets = (
             config.sockets
             - len(os.listdir("/proc/self/fd"))
+            - FILE_COUNT
             - (MAX_CONNECTIONS if self.management else 0)
         )
         self.state_machine = ProxyStateMachine(
@@ -112,7 +113,9 @@
             self.is_sole_process,
         )
         self.state_machine.requests.assigns_ids = config.assigns_trace_ids
-        self.state_machine.descriptors.admission = (
+        descriptors = self.state_machine.descriptors
+        descriptors.spare_count = max(0, sockets - self.memory_limits.connections)
+        descriptors.admission = (
             ConnectionAdmission(config.caps) if config.caps is not None else None
         )
         self.faults = self.pending_reloads = 0
--- a/pierglade/proxy/state/descriptors.py
+++ b/pierglade/proxy/state/descriptors.py
@@ -15,7 +15,9 @@
 # longest idle first.
 MAX_CLIENT_RATIO = 0.25
 MIN_IDLE_BEFORE_CLOSE = 1000  # 100 ms; a connection idle for less is likely to be used soon
-MIN_NEW_CLIENTS = RESERVED_DESCRIPTORS // 2  # else a crowd would wait for seconds to be rejected
+# Most clients that connect at once where the limit is reached: else a crowd would wait for seconds
+# to be rejected. Each takes a descriptor before that of the client it replaces is free.
+MAX_REPLACEMENTS = 8
 MIN_SILENCE_BEFORE_CLOSE = 200  # 20 ms; a normal client sends its first request earlier
 
 
@@ -28,6 +30,7 @@
         self.full_limit = limit - RESERVED_DESCRIPTORS
         # During a takeover two processes share the node's limit, and each uses at most half.
         self.limit = self.full_limit // (1 if sole_process else 2)
+        self.spare_count = 0  # descriptors beyond the limit, where memory sets it
         self.open_count = 0  # downstream and upstream connections
         self.closing_count = 0  # clients whose close was requested
         self.admission = None  # the ConnectionAdmission; None: no limits
@@ -82,7 +85,10 @@
         Each may need an upstream connection too. Some may exceed the limit: they are closed after
         their first response.
         """
-        return max(MIN_NEW_CLIENTS, min(maximum, (self.limit - self.open_count) // 2))
+        free = self.limit - self.open_count
+        quarter = (RESERVED_DESCRIPTORS + self.spare_count) // 4
+        replacements = min(MAX_REPLACEMENTS, quarter, free + quarter)
+        return max(1, min(maximum, max(replacements, free // 2)))
 
     def free_descriptors(self, newcomer):
         """Closes the least needed connections; returns whether there is a free descriptor."""
