What arrives while a process stands still is counted from when that began

What backends and callers saw after a SIGSTOP of 0.8 s: requests begun 0.5 s after their client's time, 1994 ms told where 1200 were left, and requests at a backend that had begun to drain 0.9 s before.

Cause: the end of a poll that had waited was taken for the arrival of all that it returned. A heartbeat of 100 ms now shows since when the process was not run (beside that: the poll is interrupted when it resumes, so the next ones count too). Late timers run after the next poll, and in each iteration discovery is handled before all other sockets.

The stand-in socket of ChangeDelay gets the watcher that gevent's have.

--- a/pierglade/proxy/discovery.py
+++ b/pierglade/proxy/discovery.py
@@ -213,6 +213,8 @@
         # The local variable is needed because `stop` and `resync` set `self.sock` to None when they
         # close the socket.
         sock = self.sock = socket.socket()
+        # A request must not be sent to a backend that is known to drain by now.
+        socket_io.handle_first(sock)
         sock.settimeout(POLLED_RESPONSE_TIMEOUT_S if self.is_polled() else RESPONSE_TIMEOUT)
         sock.connect(self.socket_address)
         socket_io.set_up(sock)
--- a/pierglade/proxy/event_loop.py
+++ b/pierglade/proxy/event_loop.py
@@ -16,6 +16,14 @@
 # poll is fast, and measuring takes time itself.
 LONG_TURN_NS = 3000000
 MIN_WAIT_NS = 150000  # a poll that slept for less time found an event waiting
+HEARTBEAT_S = 0.1  # between two times at which a poll ends for certain
+HEARTBEAT_TICKS = 1000  # the same in ticks
+# Ticks (30 ms). A poll that ends so long after a heartbeat was due shows that the process was not
+# run meanwhile.
+MAX_HEARTBEAT_LAG = 300
+# Ticks (50 ms). Time after that in which polls return what arrived meanwhile, until one waits.
+MAX_BACKLOG_TICKS = 500
+MIN_WAIT_AFTER_STANDSTILL_NS = 1000000  # 1 ms; caches are cold, and a poll takes longer
 
 
 def run_in_steps(work: object, pause_s: float = STEP_PAUSE_S) -> object:
@@ -53,6 +61,9 @@
     was busy for its whole last turn, and the event arrived during that turn. After a long turn, the
     thread's CPU time shows whether the poll waited: with thousands of connections the poll itself
     takes long, as it registers its watchers.
+
+    If the process is stopped or gets no CPU time while it waits, data arrives unnoticed. This shows
+    in a heartbeat that is overdue when the poll ends.
     """
 
     def __init__(self, clock: Clock):
@@ -62,13 +73,22 @@
         # CPU time of the thread before the poll; set after a long turn.
         self.cpu_before_poll_ns = None
         self.poll_ended_ns = self.poll_began_ns  # end of the last poll
+        self.heartbeat_due_at = clock.now() + HEARTBEAT_TICKS
+        self.resumed_at = 0  # end of the last poll during which the process was not run
         loop = gevent.get_hub().loop
-        self.watchers = loop.prepare(ref=False), loop.check(ref=False)
+        self.watchers = (
+            loop.prepare(ref=False),
+            loop.check(ref=False, priority=loop.MAXPRI),
+            loop.timer(HEARTBEAT_S, HEARTBEAT_S, ref=False),
+        )
         for watcher, callback in zip(
-            self.watchers, (self._before_poll, self._after_poll), strict=True
+            self.watchers, (self._before_poll, self._after_poll, self._beat), strict=True
         ):
             watcher.start(callback)
 
+    def _beat(self):
+        self.heartbeat_due_at = self.clock.now() + HEARTBEAT_TICKS
+
     def _before_poll(self):
         self.poll_began_ns = time.monotonic_ns()
         self.cpu_before_poll_ns = (
@@ -85,12 +105,20 @@
             if self.cpu_before_poll_ns is None
             else time.thread_time_ns() - self.cpu_before_poll_ns
         )
-        if self.poll_ended_ns - self.poll_began_ns - poll_cpu_ns > MIN_WAIT_NS:
-            self.arrived_at = self.idle_at = now
-        else:
-            self.arrived_at = (self.turn_began_at + now) // 2
+        waited_ns = self.poll_ended_ns - self.poll_began_ns - poll_cpu_ns
+        self._estimate_arrival(now, waited_ns)
         self.turn_began_at = now
 
+    def _estimate_arrival(self, now, waited_ns):
+        if waited_ns > MIN_WAIT_NS:
+            self.idle_at = now
+            if now > self.heartbeat_due_at + MAX_HEARTBEAT_LAG:
+                self.arrived_at, self.resumed_at = self.heartbeat_due_at, now
+                return
+        if now <= self.resumed_at + MAX_BACKLOG_TICKS and waited_ns < MIN_WAIT_AFTER_STANDSTILL_NS:
+            return  # What arrived during the standstill is still being read.
+        self.arrived_at = now if waited_ns > MIN_WAIT_NS else (self.turn_began_at + now) // 2
+
 
 class Timer:
     """Calls back at the time that was set last, in a greenlet of its own, with the lag in ticks.
--- a/pierglade/proxy/server.py
+++ b/pierglade/proxy/server.py
@@ -66,6 +66,7 @@
 SHARE_RETRY_S = 1.0  # between two attempts to open the files of sent ids
 # Ticks (50 ms). A lag as long as the slack of responses means that the CPU is overloaded.
 MIN_LOGGED_LAG_TICKS = 500
+AFTER_NEXT_POLL_S = 0.0001  # a timer that is due fires only after the next poll
 
 
 class ProxyServer:
@@ -318,6 +319,8 @@
     def _timer_fired(self, lag_ticks):
         if lag_ticks > MIN_LOGGED_LAG_TICKS:
             self.note("event_loop_lag", lag_ms=lag_ticks / 10)
+            # What arrived meanwhile is read first; discovery may have removed a backend.
+            gevent.sleep(AFTER_NEXT_POLL_S)
         self.handle_event(TimerFired())
 
     def arrival_time(self) -> int:
--- a/pierglade/proxy/socket_io.py
+++ b/pierglade/proxy/socket_io.py
@@ -8,6 +8,7 @@
 import sys
 import termios
 
+import gevent
 from gevent import socket as gevent_socket
 from gevent.event import Event
 
@@ -97,6 +98,11 @@
     sock.close()
 
 
+def handle_first(sock: socket.socket):
+    """Lets what arrives at a socket be handled before what else arrived; called before its use."""
+    sock._read_event.priority = gevent.get_hub().loop.MAXPRI
+
+
 def is_readable(sock: socket.socket) -> bool:
     """Returns whether data or the end of the stream has arrived and was not read yet."""
     try:
--- a/tests/proxy/test_acceptance.py
+++ b/tests/proxy/test_acceptance.py
@@ -12,6 +12,7 @@
 import tempfile
 import threading
 import time
+import types
 import unittest
 from unittest import mock
 
@@ -184,6 +185,7 @@
 class SimulatedConnection:
     def __init__(self, service):
         self.service, self.timeout_s, self.pieces, self.closed = service, None, [], False
+        self._read_event = types.SimpleNamespace(priority=0)  # as sockets of gevent have
 
     def settimeout(self, seconds):
         self.timeout_s = seconds
