--- a/pierglade/proxy/id_exchange.py
+++ b/pierglade/proxy/id_exchange.py
@@ -5,17 +5,15 @@
 process that was killed is read by its successor.
 """
 
-import fcntl
 import os
-import re
 import struct
 import time
 from collections.abc import Callable
 from operator import itemgetter
 
+from pierglade.proxy import lock_files
 from pierglade.proxy.state.executed_ids import FINGERPRINT_BYTES, MAX_IDS, RETENTION
 
-DEFAULT_FOLDER = "/tmp"  # used where $TMPDIR is not set
 # Fingerprint, monotonic time in ms, which is the same for all processes of a machine, and sequence
 # number, 1 for the first record of a file. It comes last, so that a half-written record has none.
 RECORD = struct.Struct(f"<{FINGERPRINT_BYTES}sQQ")
@@ -43,17 +41,15 @@
 
     def __init__(self, address: str, call_later: Callable, folder: str | None = None):
         self.call_later = call_later
-        folder = folder or os.environ.get("TMPDIR") or DEFAULT_FOLDER
-        stem = os.path.join(folder, "pierglade-" + re.sub(r"[^0-9.]", "-", address))
         self.files = []
         try:
             for slot in range(FILE_COUNT):
-                self.files.append(_open(f"{stem}.ids{slot}"))
+                self.files.append(lock_files.open_shared(address, f"ids{slot}", folder))
             self._lock_one()
-            if not _lock(self.files[1]):
+            if not lock_files.lock(self.files[1]):
                 time.sleep(INTERVAL_S)
             else:
-                fcntl.flock(self.files[1], fcntl.LOCK_UN)
+                lock_files.unlock(self.files[1])
             # Written in full, so that later records need no more space.
             records = _read_all(self.files[0])
             _write_all(self.files[0], records.ljust(RING_BYTES, b"\0"))
@@ -73,7 +69,7 @@
         """Locks a file that is free, and puts it first."""
         for _ in range(LOCK_TRIES):
             for _ in range(2):
-                if _lock(self.files[0]):
+                if lock_files.lock(self.files[0]):
                     return
                 self.files.reverse()
             time.sleep(LOCK_RETRY_S)
@@ -132,9 +128,9 @@
         if now_ns < self.check_at_ns:
             return
         self.check_at_ns, existed = now_ns + INTERVAL_NS, self.other_exists
-        self.other_exists = not _lock(self.other)
+        self.other_exists = not lock_files.lock(self.other)
         if not self.other_exists:
-            fcntl.flock(self.other, fcntl.LOCK_UN)
+            lock_files.unlock(self.other)
             if existed:
                 self._read_available()  # It may have written more before it ended.
 
@@ -160,18 +156,6 @@
         self.files = []
 
 
-def _open(path):
-    return os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
-
-
-def _lock(file):
-    try:
-        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except BlockingIOError:
-        return False
-    return True
-
-
 def _read_all(file):
     data = b""
     while len(data) < RING_BYTES and (more := os.pread(file, RING_BYTES - len(data), len(data))):
--- a/pierglade/proxy/takeover.py
+++ b/pierglade/proxy/takeover.py
@@ -5,11 +5,10 @@
 locks the second file until the first is free. The files are empty and need not be removed.
 """
 
-import fcntl
-import os
-import re
+import contextlib
+
+from pierglade.proxy import lock_files
 
-DEFAULT_FOLDER = "/tmp"  # used where $TMPDIR is not set
 POLL_INTERVAL_S = 0.2  # interval between checks whether the earlier process has ended
 
 
@@ -17,20 +16,12 @@
     """The locks of the process that serves `address`, in `folder` or $TMPDIR."""
 
     def __init__(self, address: str, folder: str | None = None):
-        folder = folder or os.environ.get("TMPDIR") or DEFAULT_FOLDER
-        stem = os.path.join(folder, "pierglade-" + re.sub(r"[^0-9.]", "-", address))
         self.files = []
-        try:
-            for role in ("serves", "follows"):
-                self.files.append(
-                    os.open(
-                        f"{stem}.{role}",
-                        os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW,
-                        0o600,
-                    )
-                )
-        except OSError:
-            self.files = []  # The files cannot be created: this process serves as the sole one.
+        # If the files cannot be created, this process serves as the sole one.
+        with contextlib.suppress(OSError):
+            self.files = [
+                lock_files.open_shared(address, role, folder) for role in ("serves", "follows")
+            ]
 
     def is_sole_process(self) -> bool:
         """Returns whether no other process serves the address.
@@ -43,7 +34,7 @@
         if not _lock(serving_file):
             _lock(successor_file)
             return False
-        fcntl.flock(successor_file, fcntl.LOCK_UN)
+        lock_files.unlock(successor_file)
         return True
 
     def successor_is_running(self) -> bool:
@@ -52,13 +43,12 @@
             return False
         if not _lock(self.files[1]):
             return True
-        fcntl.flock(self.files[1], fcntl.LOCK_UN)
+        lock_files.unlock(self.files[1])
         return False
 
 
 def _lock(file):
     try:
-        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        return lock_files.lock(file)
     except OSError:
         return False
-    return True
