--- a/pierglade/proxy/memory_limits.py
+++ b/pierglade/proxy/memory_limits.py
@@ -6,7 +6,7 @@
 # Fraction of the memory left at the start that messages may use beside the small buffer of each
 # connection. The rest is for connections, learned statistics, and what the allocator can't reuse.
 MESSAGE_FRACTION = 0.2
-CONNECTION_FRACTION = 0.45  # of the same, for connections
+CONNECTION_FRACTION = 0.4  # of the same, for connections
 # Memory of a connection with a request: a greenlet takes 16 kB for its Python stack, and beside it
 # there are its C stack, the parser, the request and small buffers.
 CONNECTION_BYTES = 24 << 10
--- a/pierglade/proxy/state/descriptors.py
+++ b/pierglade/proxy/state/descriptors.py
@@ -86,9 +86,8 @@
         their first response.
         """
         free = self.limit - self.open_count
-        quarter = (RESERVED_DESCRIPTORS + self.spare_count) // 4
-        replacements = min(MAX_REPLACEMENTS, quarter, free + quarter)
-        return max(1, min(maximum, max(replacements, free // 2)))
+        excess = min(MAX_REPLACEMENTS, (RESERVED_DESCRIPTORS + self.spare_count) // 4)
+        return max(1, min(maximum, max(free // 2, min(excess, free + excess))))
 
     def free_descriptors(self, newcomer):
         """Closes the least needed connections; returns whether there is a free descriptor."""
