--- /dev/null
+++ b/tests/proxy/test_descriptor_limits.py
@@ -0,0 +1,75 @@
+"""A node process whose descriptors are all taken by clients that wait for slow backends."""
+
+import os
+import resource
+import threading
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from tests.support.node_process import Backend, Discovery, NodeProcess, respond, wait_until
+
+DESCRIPTORS = 64
+CLIENTS = 100
+WAIT_MS = 4000
+HELD_S = 1.5  # how long backends hold all requests
+ANSWER_S = 0.5  # in which a request that can't be sent is rejected
+RESEND_S = 0.01
+ROUNDS, ROUND_S = 4, 0.2
+
+
+class WaitingClients(unittest.TestCase):
+    def setUp(self):
+        self.release = threading.Event()
+        self.backends = [Backend(f"b{n}", self.serve) for n in range(2)]
+        self.discovery = Discovery([each.entry() for each in self.backends])
+        self.node = NodeProcess(self.discovery, limits={"sockets": DESCRIPTORS}).wait_ready()
+        limits = (DESCRIPTORS, DESCRIPTORS)
+        resource.prlimit(self.node.process.pid, resource.RLIMIT_NOFILE, limits)
+
+    def tearDown(self):
+        self.release.set()
+        self.node.close()
+        for each in (self.discovery, *self.backends):
+            each.close()
+
+    def serve(self, sock, received):
+        self.release.wait(HELD_S)
+        respond(sock)
+
+    def ask(self, trace_id):
+        """Returns the status of the final answer; an unread request is sent again."""
+        while not (status := self.node.ask("/settle", trace_id, WAIT_MS).status):
+            time.sleep(RESEND_S)
+        return status
+
+    def start_waiting(self, pool, number):
+        """Sends the requests of a crowd whose answers are held back; returns their futures."""
+        self.release.clear()
+        asked = [pool.submit(self.ask, f"r{number}-{n}") for n in range(CLIENTS)]
+        wait_until(
+            lambda: len(os.listdir(f"/proc/{self.node.process.pid}/fd")) > DESCRIPTORS // 2,
+            5,
+            "clients wait",
+        )
+        return asked
+
+    def test_no_descriptor_runs_out_while_more_clients_wait_than_there_are_descriptors(self):
+        with ThreadPoolExecutor(CLIENTS) as pool:
+            for number in range(ROUNDS):
+                asked = self.start_waiting(pool, number)
+                time.sleep(ROUND_S)
+                self.release.set()
+                self.assertLessEqual({each.result() for each in asked}, {200, 503})
+        self.assertEqual(self.node.events("accept_failed"), [])
+
+    def test_new_client_is_answered_at_once_while_all_descriptors_wait(self):
+        with ThreadPoolExecutor(CLIENTS) as pool:
+            self.start_waiting(pool, 0)
+            sent_at = time.monotonic()
+            status = self.ask("late")
+            took_s = time.monotonic() - sent_at
+            self.assertFalse(self.release.is_set())
+            self.release.set()
+        self.assertEqual(status, 503)
+        self.assertLess(took_s, ANSWER_S)
