Closed connections hold their descriptor until it is released; waiting clients are bounded

Cause 1: gevent releases the descriptor of a socket with a waiting reader in a later callback, but the budget took it for free at once (trace: 55 sockets in the kernel, 28 counted). Cause 2: a client beyond the limit could wait for a backend like any other, so their number had no bound (45 with a limit of 28).

Now a closed connection counts until its descriptor is released, none is accepted while none is free (the least needed are closed first), and a client beyond the limit and half of the reserve is rejected at once instead of waiting.

--- a/pierglade/proxy/downstream.py
+++ b/pierglade/proxy/downstream.py
@@ -477,7 +477,7 @@
         if not self.requests.has_begun() and not socket_io.is_readable(self.sock):
             # No greenlet switch may happen between the check and the close: a request that arrived
             # in between would be lost.
-            socket_io.close_now(self.sock)
+            self.server.descriptor_release.close(self.sock)
             self.handle_event(ClientDisconnected(self.client, reason))
 
     def end(self):
@@ -485,7 +485,8 @@
         self._release_request()
         self.read_resumed.set()
         # A streamed response that is aborted by a timeout of either side must not look complete.
-        (socket_io.reset if self.is_streaming_response else socket_io.close_now)(self.sock)
+        close = socket_io.reset if self.is_streaming_response else socket_io.close_now
+        self.server.descriptor_release.close(self.sock, close)
         if self.admission is not None:
             self.admission.connection_closed(self.now(), self.address)
             self.admission = None
--- a/pierglade/proxy/listener.py
+++ b/pierglade/proxy/listener.py
@@ -7,11 +7,13 @@
 
 from pierglade.proxy import socket_io
 from pierglade.proxy.downstream import DownstreamHandler
+from pierglade.proxy.state.events import ConnectionWaiting
 
 BACKLOG = 4096  # connections in the kernel's queue, which count as accepted
 # Connections accepted per turn of the event loop, unless file descriptors are scarce.
 MAX_ACCEPTS_PER_TURN = 64
 RETRY_DELAY_S = 0.01  # delay after a failed accept, for descriptors to become free
+RELEASE_DELAY_S = 0.001  # in which the descriptors of closed connections are released
 MAX_FAILURES_AT_CLOSE = 1000  # of accept as the socket is closed; a permanent failure must end
 # Failures of one connection, not of this process: the next one is accepted at once.
 CONNECTION_ERRORS = (errno.ECONNABORTED, errno.EPROTO, errno.EINTR)
@@ -47,6 +49,10 @@
         accepted = 0
         while self.open:
             try:
+                if not self._max_accepts():
+                    accepted = 0
+                    self._make_room()
+                    continue
                 sock, address = self.sock.accept()
             except OSError as error:
                 if self.open and error.errno not in CONNECTION_ERRORS:
@@ -55,15 +61,20 @@
                 continue
             self._admit(sock, address)
             accepted += 1
-            if (
-                accepted
-                >= self.server.state_machine.descriptors.max_new_clients(MAX_ACCEPTS_PER_TURN)
-                or self.server.admission_queue.full()
-            ):
+            if accepted >= self._max_accepts() or self.server.admission_queue.full():
                 # Lets the loop close ended connections before the next one takes a descriptor.
                 accepted = 0
                 gevent.sleep(0)
 
+    def _max_accepts(self):
+        return self.server.state_machine.descriptors.max_new_clients(MAX_ACCEPTS_PER_TURN)
+
+    def _make_room(self):
+        """Frees descriptors once a client waits to be accepted; raises OSError at `close`."""
+        socket_io.wait_readable(self.sock)
+        self.server.handle_event(ConnectionWaiting())
+        gevent.sleep(RELEASE_DELAY_S)
+
     def _admit(self, sock, address):
         state_machine = self.server.state_machine
         if state_machine.descriptors.admission is not None and not state_machine.descriptors.admits(
--- a/pierglade/proxy/server.py
+++ b/pierglade/proxy/server.py
@@ -13,6 +13,7 @@
 
 from pierglade.admission.connection_admission import ConnectionAdmission, ConnectionLimits
 from pierglade.proxy.admission_queue import AdmissionQueue
+from pierglade.proxy.descriptor_release import DescriptorRelease
 from pierglade.proxy.discovery import DiscoveryClient, FixedEndpointList
 from pierglade.proxy.downstream import DownstreamHandler
 from pierglade.proxy.event_loop import Clock, EventLoopMonitor, Timer, run_in_steps
@@ -158,6 +159,7 @@
         self.loop_monitor = EventLoopMonitor(self.clock)
         self.admission_queue = AdmissionQueue(self.clock, self.loop_monitor)
         self.turn_limiter = TurnLimiter(self.loop_monitor)
+        self.descriptor_release = DescriptorRelease(self.state_machine.descriptors)
         self.effect_handlers = {
             SendResponse: lambda client, head, body, chunked: client.io.answer(
                 head, body, client.last, chunked
@@ -391,6 +393,10 @@
 
     def _connect(self, connection):
         connection.io = UpstreamHandler(
-            connection, self.handle_event, self.budget, self.turn_limiter
+            connection,
+            self.handle_event,
+            self.budget,
+            self.turn_limiter,
+            self.descriptor_release,
         )
         self.spawn(connection.io.run, connection.io)
--- a/pierglade/proxy/socket_io.py
+++ b/pierglade/proxy/socket_io.py
@@ -151,6 +151,11 @@
         return True
 
 
+def wait_readable(sock):
+    """Waits until the socket is readable; raises OSError if it is closed during the wait."""
+    sock._wait(sock._read_event)
+
+
 def close_now(sock: socket.socket):
     """Ends the connection at once, as gevent closes the descriptor only in the next turn."""
     with contextlib.suppress(OSError):
--- a/pierglade/proxy/state/connections.py
+++ b/pierglade/proxy/state/connections.py
@@ -58,6 +58,7 @@
     __slots__ = (
         "body_checked_at",
         "body_size_at_last_check",
+        "exceeds_limit",
         "head_received_at",
         "id",
         "io",
@@ -83,6 +84,7 @@
         self.timer = self.timer_queued_at = None
         self.message = self.request = self.id = None
         self.last = False  # whether it is closed after its next response
+        self.exceeds_limit = False  # whether no descriptor was free when it was opened
         self.is_closing = False  # whether a close was requested; unread bytes are still handled
         self.head_received_at = 0  # when the head of the current request was complete
         # When it was last checked that the body goes on, and its bytes by then.
--- a/pierglade/proxy/state/constants.py
+++ b/pierglade/proxy/state/constants.py
@@ -2,9 +2,10 @@
 
 NEVER = 1 << 62  # a time that is never reached
 DEADLINE_MARGIN = 50  # 5 ms; attempts time out this much before the deadline, to answer in time
-# File descriptors that are not counted as connections: the one to discovery, and those that are
-# closed in the next iteration of the event loop.
+# File descriptors beyond the limit of connections: for those that replace others, for requests that
+# are only rejected, and for DISCOVERY_DESCRIPTORS.
 RESERVED_DESCRIPTORS = 16
+DISCOVERY_DESCRIPTORS = 4  # connections to discovery, of which one may replace another
 REUSE_DELAY = 100  # 10 ms; backends send duplicate responses some milliseconds after the first
 # Bytes per tick, which is 32 kB/s; half the rate of slow clients and backends. A body that arrives
 # more slowly is taken for one that never ends.
--- a/pierglade/proxy/state/descriptors.py
+++ b/pierglade/proxy/state/descriptors.py
@@ -6,7 +6,11 @@
     NEW,
     READING_REQUEST,
 )
-from pierglade.proxy.state.constants import LOG_INTERVAL, RESERVED_DESCRIPTORS
+from pierglade.proxy.state.constants import (
+    DISCOVERY_DESCRIPTORS,
+    LOG_INTERVAL,
+    RESERVED_DESCRIPTORS,
+)
 from pierglade.proxy.state.effects import CloseWhenRead
 
 # Times are tenths of a millisecond.
@@ -18,6 +22,7 @@
 # Most clients that connect at once where the limit is reached: else a crowd would wait for seconds
 # to be rejected. Each takes a descriptor before that of the client it replaces is free.
 MAX_REPLACEMENTS = 8
+WAITING_CLIENT = object()  # stands for a client that is not accepted yet
 MIN_SILENCE_BEFORE_CLOSE = 200  # 20 ms; a normal client sends its first request earlier
 
 
@@ -33,6 +38,7 @@
         self.spare_count = 0  # descriptors beyond the limit, where memory sets it
         self.open_count = 0  # downstream and upstream connections
         self.closing_count = 0  # clients whose close was requested
+        self.unreleased_count = 0  # closed connections whose descriptors are still in use
         self.admission = None  # the ConnectionAdmission; None: no limits
         # Since the last log line: clients that found no free descriptor, and rejected connections.
         self.exhausted_count = self.rejected_count = 0
@@ -83,14 +89,30 @@
         """Returns how many clients, up to `maximum`, may connect before ended ones are closed.
 
         Each may need an upstream connection too. Some may exceed the limit: they are closed after
-        their first response.
+        their first response. 0: all descriptors are in use.
         """
         free = self.limit - self.open_count
         excess = min(MAX_REPLACEMENTS, (RESERVED_DESCRIPTORS + self.spare_count) // 4)
-        return max(1, min(maximum, max(free // 2, min(excess, free + excess))))
+        wanted = max(1, min(maximum, max(free // 2, min(excess, free + excess))))
+        return max(0, min(wanted, self._unused_descriptors()))
+
+    def _unused_descriptors(self):
+        usable = self.limit + RESERVED_DESCRIPTORS - DISCOVERY_DESCRIPTORS + self.spare_count
+        return usable - self.open_count - self.unreleased_count
+
+    def is_over_reserve(self):
+        """Returns whether so many connections exceed the limit that requests are only rejected."""
+        return self.open_count > self.limit + RESERVED_DESCRIPTORS // 2
+
+    def connection_waiting(self):
+        """Closes the least needed connections, as a client can't be accepted without."""
+        self.free_descriptors(WAITING_CLIENT)
 
     def free_descriptors(self, newcomer):
-        """Closes the least needed connections; returns whether there is a free descriptor."""
+        """Closes the least needed connections; returns whether there is a free descriptor.
+
+        `newcomer`: the connection that the descriptor is for, which is kept; None: an upstream one.
+        """
         while self.open_count - self.closing_count > self.limit:
             # Closed first are clients that got their last response, then clients that connected but
             # sent nothing, of which there may be hundreds.
@@ -119,7 +141,7 @@
                 if slow is not None:
                     self.downstream.reject_last(slow)
                 return False
-        return self.open_count <= self.limit + RESERVED_DESCRIPTORS // 2
+        return not self.is_over_reserve() and self._unused_descriptors() >= 0
 
     def limit_idle_clients(self, newcomer):
         """Closes idle clients if clients use too many descriptors, so that others can connect."""
@@ -134,7 +156,7 @@
 
     def _longest_waiting(self, state, newcomer, after=0):
         """Returns the client that has been in a state longest, if that is `after` ticks or more."""
-        if self.open_count > self.limit + RESERVED_DESCRIPTORS // 2:
+        if self.is_over_reserve():
             # The reserved descriptors are in use as well, so there is no minimum time. Usually
             # there is one: a client that just connected or got a response may send a request while
             # its connection is being closed, and that request would be lost.
--- a/pierglade/proxy/state/downstream.py
+++ b/pierglade/proxy/state/downstream.py
@@ -78,7 +78,7 @@
         self.timers.set_timer(client, self.step.now + FIRST_BYTE_TIMEOUT, self.idle_timed_out)
         if not self.descriptors.free_descriptors(client):
             # No idle connection is left to close: the client is closed after its first response.
-            client.last = True
+            client.last = client.exceeds_limit = True
             self.descriptors.count_exhausted()
         self.descriptors.limit_idle_clients(client)
 
--- a/pierglade/proxy/state/events.py
+++ b/pierglade/proxy/state/events.py
@@ -17,6 +17,10 @@
     known: bool = False  # whether its address has priority over unknown ones
 
 
+class ConnectionWaiting(NamedTuple):
+    """A client waits to be accepted, and no file descriptor is free."""
+
+
 class RequestStarted(NamedTuple):
     """Some bytes of a request have arrived."""
 
@@ -154,6 +158,7 @@
 EVENTS_WITHOUT_DECISIONS = frozenset(
     (
         ConnectionOpened,
+        ConnectionWaiting,
         RequestStarted,
         ResponseProgressed,
         ResponseSent,
--- a/pierglade/proxy/state/machine.py
+++ b/pierglade/proxy/state/machine.py
@@ -22,6 +22,7 @@
     ClientDisconnected,
     ConfigurationLoaded,
     ConnectionOpened,
+    ConnectionWaiting,
     DiscoveryLost,
     EndpointsUpdated,
     MalformedRequest,
@@ -143,6 +144,7 @@
         """Returns the handlers by event type; a handler gets the event's fields."""
         return {
             ConnectionOpened: self.downstream.opened,
+            ConnectionWaiting: self.descriptors.connection_waiting,
             RequestStarted: self.downstream.request_started,
             RequestReceived: self.requests.received,
             BodyReceived: self.downstream.body_received,
--- a/pierglade/proxy/state/requests.py
+++ b/pierglade/proxy/state/requests.py
@@ -79,7 +79,10 @@
             return self.downstream.refuse(client, 400, "the target names no path", last=True)
         if path in (READY_PATH, LIVE_PATH):
             return self._answer_health(client, message, path)
-        if self.lifecycle.rejecting:
+        # Clients beyond the limit must not wait for backends, or their number has no bound.
+        if self.lifecycle.rejecting or (
+            client.exceeds_limit and self.descriptors.is_over_reserve()
+        ):
             return self.downstream.reject(client, self.balancers.current)
         request_class = self.balancers.request_classes.get(path.partition(b"?")[0].split(b"/")[1])
         if request_class is None:
--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -7,6 +7,7 @@
 from gevent.event import Event
 
 from pierglade.proxy import socket_io
+from pierglade.proxy.descriptor_release import DescriptorRelease
 from pierglade.proxy.http.body_stream import (
     SMALL_WINDOW,
     STREAM_RESERVATION_BYTES,
@@ -39,9 +40,10 @@
         handle_event: Callable,
         budget: BufferBudget | None = None,
         turn_limiter: TurnLimiter | None = None,
+        descriptor_release: DescriptorRelease | None = None,
     ):
         self.connection, self.handle_event = connection, handle_event
-        self.turn_limiter = turn_limiter
+        self.turn_limiter, self.descriptor_release = turn_limiter, descriptor_release
         # Memory for responses; `reserved_bytes` of it are in use here.
         self.budget, self.reserved_bytes = budget or BufferBudget(UNLIMITED_BYTES), 0
         # Why no socket could be made, if so; `sock` is None then.
@@ -381,4 +383,6 @@
             # The client has disconnected, so the bytes of a large request that are still in the
             # kernel's buffer must not be sent.
             socket_io.discard_unsent(self.sock)
-        socket_io.close_now(self.sock)
+        if self.descriptor_release is None:
+            return socket_io.close_now(self.sock)
+        self.descriptor_release.close(self.sock)
--- a/tests/proxy/test_descriptor_limits.py
+++ b/tests/proxy/test_descriptor_limits.py
@@ -1,15 +1,25 @@
 """A node process whose descriptors are all taken by clients that wait for slow backends."""
 
+import contextlib
 import os
 import resource
 import threading
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
+from unittest import mock
 
+import gevent
+import gevent.socket
+
+from pierglade.proxy.descriptor_release import DescriptorRelease
+from pierglade.proxy.state.constants import RESERVED_DESCRIPTORS
+from pierglade.proxy.state.descriptors import DescriptorBudget
+from pierglade.proxy.state.step import Step
 from tests.support.node_process import Backend, Discovery, NodeProcess, respond, wait_until
 
 DESCRIPTORS = 64
+LIMIT = 28  # connections
 CLIENTS = 100
 WAIT_MS = 4000
 HELD_S = 1.5  # how long backends hold all requests
@@ -18,6 +28,33 @@
 ROUNDS, ROUND_S = 4, 0.2
 
 
+def read_to_the_end(sock):
+    with contextlib.suppress(OSError):
+        sock.recv(1)
+
+
+class Release(unittest.TestCase):
+    def test_descriptor_of_a_closed_socket_is_in_use_until_its_reader_has_ended(self):
+        theirs, ours = gevent.socket.socketpair()
+        kernel_socket = ours._sock
+        descriptors = mock.Mock(unreleased_count=0)
+        reading = gevent.spawn(read_to_the_end, ours)
+        gevent.sleep(0)
+        DescriptorRelease(descriptors).close(ours)
+        self.assertEqual((kernel_socket.fileno() >= 0, descriptors.unreleased_count), (True, 1))
+        gevent.sleep(0)
+        self.assertEqual((kernel_socket.fileno() >= 0, descriptors.unreleased_count), (False, 0))
+        self.assertTrue(reading.dead)
+        theirs.close()
+
+    def test_unreleased_descriptors_are_not_given_to_new_clients(self):
+        budget = DescriptorBudget(Step(0), None, RESERVED_DESCRIPTORS + LIMIT, True)
+        budget.open_count = LIMIT
+        self.assertGreater(budget.max_new_clients(LIMIT), 0)
+        budget.unreleased_count = RESERVED_DESCRIPTORS
+        self.assertEqual(budget.max_new_clients(LIMIT), 0)
+
+
 class WaitingClients(unittest.TestCase):
     def setUp(self):
         self.release = threading.Event()
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -19,6 +19,7 @@
 from pierglade import __main__ as start
 from pierglade.proxy import discovery, socket_io
 from pierglade.proxy import downstream as clients
+from pierglade.proxy.descriptor_release import DescriptorRelease
 from pierglade.proxy.downstream import DownstreamHandler
 from pierglade.proxy.event_loop import Clock, EventLoopMonitor, Timer
 from pierglade.proxy.http import message as http
@@ -518,6 +519,7 @@
             balancers=mock.Mock(load_shedder=mock.Mock(threshold=0.0)),
         ),
         admission_queue=mock.Mock(full=lambda: False),
+        descriptor_release=DescriptorRelease(mock.Mock(unreleased_count=0)),
     )
 
 
