A keyed request stays in the zone or cell where its backend was when it got the request

Callers would see a keyed request run twice: its attempt was lost at a process in one zone, a new process of the same name came up in another, and the request was sent again there, as the zone was looked up by the name at the time of the retry. Seen by a new test of the state machine (failed: resent in the other zone). The attempt now keeps zone and cell from when its backend was chosen, and retries compare with these.

--- a/pierglade/balancer/balancer.py
+++ b/pierglade/balancer/balancer.py
@@ -151,6 +151,7 @@
         self.dispatch = Dispatch(
             self.limit,
             self.wakeup,
+            self.endpoints,
             self.pending,
             self.queue,
             self.deadlines,
--- a/pierglade/balancer/dispatch.py
+++ b/pierglade/balancer/dispatch.py
@@ -3,7 +3,7 @@
 from heapq import heappop
 
 from pierglade.balancer.ejections import COUNTS_TOWARD_CAPACITY, Ejections
-from pierglade.balancer.endpoint_stats import RequestStats
+from pierglade.balancer.endpoint_stats import EndpointStats, RequestStats
 from pierglade.balancer.health_checks import HealthChecks
 from pierglade.balancer.load_reports import LoadReports
 from pierglade.balancer.outlier_detection import MIN_UNRESPONSIVE_RATIO
@@ -36,6 +36,7 @@
         self,
         limit: ConcurrencyLimiter,
         wakeup: Wakeup,
+        endpoints: EndpointStats,
         pending: PendingDecisions,
         queue: RequestQueue,
         deadlines: RequestDeadlines,
@@ -51,6 +52,7 @@
     ) -> None:
         self.limit = limit
         self._wakeup = wakeup
+        self._endpoints = endpoints
         self._pending = pending
         self._queue = queue
         self._deadlines = deadlines
@@ -147,7 +149,17 @@
         """Sends an attempt of the request to the backend."""
         ejections, class_index = self._ejections, request.request_class.index
         is_trial = self._selection.is_trial(request, backend)
-        attempt = Attempt(request, len(request.attempts), backend, now, request.deadline, is_trial)
+        endpoints = self._endpoints
+        attempt = Attempt(
+            request,
+            len(request.attempts),
+            backend,
+            endpoints.zone[backend],
+            endpoints.cell[backend],
+            now,
+            request.deadline,
+            is_trial,
+        )
         attempt.write_by = self._retry_rules.latest_resend(request)
         if ejections.reason[backend] in COUNTS_TOWARD_CAPACITY:
             self.limit.change_in_flight(now, 1)
--- a/pierglade/balancer/retry.py
+++ b/pierglade/balancer/retry.py
@@ -234,8 +234,8 @@
         scope, endpoints = request_class.deduplication_scope, self._endpoints
         return (
             scope == "all"
-            or (scope == "zone" and endpoints.zone[backend] == endpoints.zone[executed.backend])
-            or (scope == "cell" and endpoints.cell[backend] == endpoints.cell[executed.backend])
+            or (scope == "zone" and endpoints.zone[backend] == executed.zone)
+            or (scope == "cell" and endpoints.cell[backend] == executed.cell)
         )
 
     @staticmethod
--- a/pierglade/model/request.py
+++ b/pierglade/model/request.py
@@ -113,6 +113,9 @@
     number: int
     backend: int
     """Index of the backend in the balancer that chose it."""
+    zone: str | None
+    cell: str | None
+    """Where the backend was when it was chosen; its name may belong to another process later."""
     sent_at: Ticks
     timeout_at: Ticks
     is_trial: bool = False
--- a/tests/proxy/test_address_reuse.py
+++ b/tests/proxy/test_address_reuse.py
@@ -3,10 +3,12 @@
 import time
 import unittest
 
+from pierglade.proxy.state.events import UpstreamConnected
 from tests.support.node_process import Backend, Client, Discovery, NodeProcess, request, respond
-from tests.support.scene import StateMachineHarness, entry
+from tests.support.scene import MS, StateMachineHarness, entry
 
 ADDRESS = "127.0.0.1:9500"
+REQUEST_MS = 1000  # that a client of the harness waits
 SLOW_START_MS = 9000  # a little more than in the harness
 
 
@@ -60,6 +62,32 @@
         harness.lines = []
         self.assertIn("b0", self.send(harness, 12))
 
+    def test_attempts_that_wait_for_a_connection_are_not_sent_to_a_restarted_process(self):
+        for address in (ADDRESS, "127.0.0.1:9600"):
+            with self.subTest(address=address):
+                harness = self.harness(entry("b0", address=ADDRESS), entry("b1"))
+                names = self.send(harness, 8)
+                restarted = entry("b0", address=address, since_ms=harness.now // MS)
+                harness.update_endpoints([restarted], index=2, whole=False)
+                waiting = [harness.links[n] for n, name in enumerate(names) if name == "b0"]
+                harness.lines = []
+                for connection in waiting:
+                    harness.handle_event(UpstreamConnected(connection))
+                self.assertEqual([line for line in harness.lines if "SendRequest" in line], [])
+                self.assertNotIn("b0", connected_names(harness))
+
+    def test_keyed_request_stays_in_the_zone_where_it_may_have_run_as_its_backend_moves(self):
+        harness = self.harness(entry("b0", address=ADDRESS))
+        harness.send_request("c0", path="/hold")
+        harness.connect_upstream()
+        moved = entry("b0", address="127.0.0.1:9600", since_ms=harness.now // MS)
+        others = [{**each, "zone": "west"} for each in (moved, entry("b1"))]
+        harness.update_endpoints(others, index=2, whole=False)
+        harness.lines = []
+        harness.lose()
+        harness.after(REQUEST_MS)
+        self.assertEqual(connected_names(harness), [])
+
     def test_start_time_that_went_back_is_a_new_process_too(self):
         harness = self.harness(entry("b0", since_ms=1500))
         self.send(harness, 1)
