Attempts chosen for an earlier process are not sent to a new one in slow start unless that allows it

Servers saw: a process that restarted under its name got, at once and uncounted, all attempts that had waited for a connection to the one before, at the same address or at its new one. Cause: a connection was told apart from others by its address alone, and an attempt whose backend moved was sent on without asking the slow start. The test of the state machine failed before: four of four attempts went to the new process. Now a connection belongs to one process of its name, and an attempt chosen for an earlier one goes to the new process only within its slow start; else its request is retried elsewhere or rejected.

--- a/pierglade/balancer/balancer.py
+++ b/pierglade/balancer/balancer.py
@@ -223,6 +223,16 @@
         """Returns the status of the backend with that name, or None if it is unknown."""
         return self._observer.status(name, now)
 
+    def may_send_to_new_process(self, now: int, backend: int) -> bool:
+        """Returns whether an attempt chosen for an earlier process of `backend` may go to this one.
+
+        If so, it counts as sent in the slow start of this process.
+        """
+        is_allowed = self.selection.allows_slow_start(backend, now)
+        if is_allowed:
+            self.slow_start.attempt_sent(backend, now)
+        return is_allowed
+
     def queue_length(self) -> int:
         """Returns the number of requests queued for a backend."""
         return len(self.queue)
--- a/pierglade/balancer/selection.py
+++ b/pierglade/balancer/selection.py
@@ -129,6 +129,13 @@
         rotation.position = fallback + 1 if fallback + 1 < count else 0
         return subset[fallback]
 
+    def allows_slow_start(self, backend: int, now: int) -> bool:
+        """Returns whether a backend is warm, or may get one more attempt in its slow start."""
+        rotation = self._rotation
+        return now >= self._slow_start.until[backend] or self._slow_start.allows(
+            backend, now, self._endpoints.size[backend], len(rotation.by_rank), len(rotation.subset)
+        )
+
     def skip_reason(self, request: Request, backend: int, now: int) -> SkipReason | None:
         """Returns the reason for skipping the backend, or None."""
         if request.attempts:
@@ -137,9 +144,7 @@
             if any(attempt.backend == backend for attempt in request.attempts):
                 return SkipReason.ALREADY_TRIED
         rotation, ejections = self._rotation, self._ejections
-        if now < self._slow_start.until[backend] and not self._slow_start.allows(
-            backend, now, self._endpoints.size[backend], len(rotation.by_rank), len(rotation.subset)
-        ):
+        if not self.allows_slow_start(backend, now):
             return SkipReason.SLOW_START
         reason = ejections.reason[backend]
         if reason is not None and not self.is_trial(request, backend):
--- a/pierglade/proxy/state/attempts.py
+++ b/pierglade/proxy/state/attempts.py
@@ -180,9 +180,14 @@
             # The drain grace period is not used: discovery may have notified the backend well
             # before it notified this process.
             return self.withdraw(connection, Outcome.REJECTED_UNPROCESSED)
-        if connection.address != backend.address:
-            # Another process, whose state is unknown, may be using the old address by now.
-            return self.withdraw(connection, None)
+        if not backend.is_current(connection):
+            # The process that has the name now, and perhaps the address, may be in slow start.
+            return self.withdraw(
+                connection,
+                None
+                if attempt.request.owner.may_send_to_new_process(self.step.now, attempt.backend)
+                else Outcome.REJECTED_UNPROCESSED,
+            )
         if self.step.now < attempt.request.caller_context.last_abort_at + RESEND_DELAY:
             # There is no order between two connections. The close of the aborted one must arrive
             # before the first byte of the next attempt, or two attempts are in flight at once.
--- a/pierglade/proxy/state/connections.py
+++ b/pierglade/proxy/state/connections.py
@@ -110,6 +110,7 @@
         "backend",
         "body_stream",
         "closed_while_busy",
+        "incarnation",
         "io",
         "is_health_check",
         "is_open_ended",
@@ -128,6 +129,7 @@
     def __init__(self, backend):
         self.io = None
         self.backend, self.address = backend, backend.address
+        self.incarnation = backend.incarnation
         self.state = ConnectionState.CONNECTING
         self.timer = self.timer_queued_at = None
         self.attempt = None
@@ -166,6 +168,7 @@
         "entry",
         "health_check_connection",
         "idle",
+        "incarnation",
         "is_superseded",
         "min_connect_time",
         "name",
@@ -190,6 +193,11 @@
         # is the time as reported.
         self.entry = None
         self.is_superseded = False  # whether the process of another name has its address now
+        self.incarnation = 0  # number of restarts: processes that had the name before
+
+    def is_current(self, connection):
+        """Returns whether a connection was opened to the process that has the name now."""
+        return connection.incarnation == self.incarnation
 
     def connect_measured(self, duration):
         """Records how long it took to establish a connection."""
--- a/pierglade/proxy/state/endpoints.py
+++ b/pierglade/proxy/state/endpoints.py
@@ -141,6 +141,7 @@
             # Connections to the earlier process are useless.
             self._release_address(backend)
             backend.address, backend.started = address, reported
+            backend.incarnation += 1
             backend.min_connect_time, backend.is_superseded = None, False
             self._close_idle(backend, "restarted")
             changed.append((entry.name, "restarted"))
--- a/pierglade/proxy/state/upstream.py
+++ b/pierglade/proxy/state/upstream.py
@@ -166,7 +166,7 @@
         backend = connection.backend
         if not keep:
             self.close(connection, "closed by its answer")
-        elif self.endpoints.is_draining(backend) or backend.address != connection.address:
+        elif self.endpoints.is_draining(backend) or not backend.is_current(connection):
             self.close(connection, "drained")
         else:
             set_state(connection, IDLE, self.by_state)
@@ -190,7 +190,7 @@
             if (
                 other.backend is connection.backend
                 and other.attempt is not None
-                and other.address == connection.address
+                and other.incarnation == connection.incarnation
             ):
                 attempt, other.attempt = other.attempt, None
                 self.attempts.connections[attempt], connection.attempt = connection, attempt
