A client that has left when it is accepted gets no handler, so others are accepted in time

Cause: each such connection cost a handler, a greenlet and two events, some 250 us, so the kernel's queue was full and others waited in it or for a repeated SYN. Now a connection that its client has closed is dropped at the accept; the line `resources` counts them.

--- a/pierglade/proxy/listener.py
+++ b/pierglade/proxy/listener.py
@@ -76,6 +76,11 @@
         gevent.sleep(RELEASE_DELAY_S)
 
     def _admit(self, sock, address):
+        if socket_io.peer_has_closed(sock):
+            # Nobody reads an answer. Without a handler, a flood of such clients does not fill the
+            # kernel's queue, in which others would wait for a second or more.
+            self.server.monitor.departed_clients += 1
+            return sock.close()
         state_machine = self.server.state_machine
         if state_machine.descriptors.admission is not None and not state_machine.descriptors.admits(
             self.server.clock.now(), address[0]
--- a/pierglade/proxy/process_monitor.py
+++ b/pierglade/proxy/process_monitor.py
@@ -32,6 +32,7 @@
         self.server = server
         self.responses = Counter()  # sent since the last line, by status
         self.reasons = {}  # the first reason since the last line, by status
+        self.departed_clients = 0  # clients since the last line that had left when accepted
         self.cpu_ns = time.process_time_ns()
         self.logged_at_ns = time.monotonic_ns()
 
@@ -63,12 +64,13 @@
             buffered_kb=self.server.budget.reserved >> 10,
             cpu_ratio=round((cpu_ns - self.cpu_ns) / max(1, now_ns - self.logged_at_ns), 2),
             recent_ids=len(state_machine.requests.ids),
+            departed_clients=self.departed_clients,
             downstream=_counts(state_machine.downstream.by_state),
             upstream=_counts(state_machine.upstream.by_state),
             responses={status.decode(): count for status, count in self.responses.items()},
             reasons={status.decode(): reason for status, reason in self.reasons.items()},
         )
-        self.responses, self.reasons = Counter(), {}
+        self.responses, self.reasons, self.departed_clients = Counter(), {}, 0
         self.cpu_ns, self.logged_at_ns = cpu_ns, now_ns
 
 
--- a/tests/support/flood.py
+++ b/tests/support/flood.py
@@ -1,5 +1,6 @@
 """`python -m tests.support.flood HOST PORT KIND SECONDS`: one client that sends at full speed."""
 
+import contextlib
 import socket
 import sys
 import threading
@@ -51,9 +52,18 @@
         pass
 
 
+def depart_at_once(host, port, end):
+    """Opens connections until `end`, each with a byte of a request, and waits for nothing."""
+    while time.monotonic() < end:
+        with contextlib.suppress(OSError), socket.create_connection((host, port), 5) as sock:
+            sock.sendall(b"G")
+
+
 def main(host, port, kind, seconds):
     """Floods until the time is up; a connection that ends is opened again."""
     end = time.monotonic() + float(seconds)
+    if kind == "departures":
+        return depart_at_once(host, int(port), end)
     while time.monotonic() < end:
         try:
             with socket.create_connection((host, int(port)), 5) as sock:
