As the listener closes, queued connections wait for a descriptor instead of being reset

Cause: the listener accepted the queue in one step, in which the events of the new connections are not applied yet, so the budget did not know that no descriptor was left; accept failed a thousand times at once and the socket was closed, which resets the rest.

The queue is now accepted by a greenlet of its own, as far as there are descriptors; it frees some, and goes on a millisecond later.

--- a/pierglade/proxy/listener.py
+++ b/pierglade/proxy/listener.py
@@ -105,8 +105,18 @@
         """Stops listening; connections that the kernel has accepted by now are still served."""
         self.open = False
         self.sock.setblocking(False)
+        # In a greenlet, as events are applied only after the current one: without them the budget
+        # of descriptors would not know how many are in use.
+        gevent.spawn(self._accept_rest)
+
+    def _accept_rest(self):
+        """Accepts what the kernel has queued, then closes; waits where no descriptor is free."""
         failures = 0
         while failures < MAX_FAILURES_AT_CLOSE:
+            if not self._max_accepts():
+                self.server.handle_event(ConnectionWaiting())
+                gevent.spawn_later(RELEASE_DELAY_S, self._accept_rest)
+                return
             try:
                 sock, address = self.sock.accept()
             except BlockingIOError:
--- a/tests/proxy/test_descriptor_limits.py
+++ b/tests/proxy/test_descriptor_limits.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import resource
+import signal
 import threading
 import time
 import unittest
@@ -26,6 +27,8 @@
 ANSWER_S = 0.5  # in which a request that can't be sent is rejected
 RESEND_S = 0.01
 ROUNDS, ROUND_S = 4, 0.2
+CONNECT_AFTER_TERM_S = 0.2
+LISTEN_AFTER_TERM_S = 0.7  # after that the node closes its listener
 
 
 def read_to_the_end(sock):
@@ -110,3 +113,21 @@
             self.release.set()
         self.assertEqual(status, 503)
         self.assertLess(took_s, ANSWER_S)
+
+    def test_queued_connections_are_answered_as_the_listener_closes_without_descriptors(self):
+        self.release.set()
+        self.node.terminate()
+        time.sleep(CONNECT_AFTER_TERM_S)
+        self.node.process.send_signal(signal.SIGSTOP)
+        with ThreadPoolExecutor(CLIENTS) as pool:
+            asked = [pool.submit(self.answer_once, n) for n in range(CLIENTS)]
+            time.sleep(LISTEN_AFTER_TERM_S)
+            self.node.process.send_signal(signal.SIGCONT)
+            statuses = [each.result() for each in asked]
+        self.assertLessEqual(set(statuses), {200, 503}, f"{statuses.count(0)} lost")
+
+    def answer_once(self, number):
+        try:
+            return self.node.ask("/settle", f"queued-{number}", WAIT_MS).status
+        except OSError:
+            return 0
