The soak also plays taken addresses, failing writes, stepped clocks, few descriptors and repeated ids

A backend ends and a process of another name and zone comes up at its address, told 0 to 0.3 s later; writes and syncs of the node's files fail or stop half way; its wall clock is stepped by 3 s or an hour every 0.3 s; 96 descriptors; an id comes again after its client has left, also at the other process of an upgrade.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,12 +1,15 @@
 """`python -m tests.soak.play SEED...`: plays seeded faults on real processes and checks the rules.
 
 Each seed draws its forms: crowds, floods, bursts of connections, late bodies, clients that leave, failing system
-calls, backends that drain and are replaced, a node that stands still, reloads, upgrades, signals in series. Clients use their open connections until SIGKILL,
-which comes at the earliest time of the pages. Prints a line for each broken rule; ends with 1 if there is one.
+calls, backends that drain and are replaced, also at the same address, a node that stands still, reloads, upgrades, signals in
+series, failing writes, steps of the wall clock, few descriptors, ids that come again. Clients use their open connections until
+SIGKILL, which comes at the earliest time of the pages. Prints a line for each broken rule; ends with 1 if there is one.
 """
 
+import contextlib
 import json
 import random
+import resource
 import signal
 import sys
 import threading
@@ -49,7 +52,15 @@
     "errors": 0.4,
     "burst": 0.3,
     "standstill": 0.3,
+    "same_address": 0.3,
+    "few_descriptors": 0.2,
+    "file_errors": 0.3,
+    "node_clock": 0.3,
+    "repeats": 0.4,
 }
+FEW_DESCRIPTORS = 96
+FILE_FAULTS = {"file": 0.3}
+CLOCK_STEPS_S = (3.0, 3600.0)
 STANDSTILLS_S = (0.2, 0.6, 0.9)  # of the node; the longest exceeds the grace of a drain
 BURST = 200  # connections
 
@@ -86,15 +97,25 @@
         self.crowds, self.nodes, self.standstills = [], [], []
 
     def start_node(self, **changed):
-        module = "tests.support.faulty_node" if "faults" in self.forms else "pierglade"
+        faults = {"seed": self.random.random()}
+        faults |= FAULTS if "faults" in self.forms else {}
+        faults |= FILE_FAULTS if "file_errors" in self.forms else {}
+        faults |= (
+            {"step_s": self.random.choice(CLOCK_STEPS_S)} if "node_clock" in self.forms else {}
+        )
+        descriptors = FEW_DESCRIPTORS if "few_descriptors" in self.forms else 1024
         node = NodeProcess(
             self.discovery,
-            module=module,
-            environ={"FAULTS": json.dumps({"seed": self.random.random(), **FAULTS})},
+            module="tests.support.faulty_node" if len(faults) > 1 else "pierglade",
+            environ={"FAULTS": json.dumps(faults)},
             settings=settings(self.forms),
-            limits={"memory_mb": 32 if "small_memory" in self.forms else 192, "sockets": 1024},
+            limits={
+                "memory_mb": 32 if "small_memory" in self.forms else 192,
+                "sockets": descriptors,
+            },
             **changed,
         ).wait_ready()
+        resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE, (descriptors, descriptors))
         self.nodes.append(node)
         return node
 
@@ -118,6 +139,7 @@
         """Plays the seed and returns the broken rules, a line each."""
         try:
             node = self.start_node()
+            self.place = node.place
             clients = [
                 threading.Thread(target=self.client, args=(node.place, random.Random(n)))
                 for n in range(CLIENTS)
@@ -151,6 +173,8 @@
         self.begin_standstill(node)
         if "replacement" in self.forms:
             self.replace()
+        if "same_address" in self.forms:
+            self.take_address()
         self.end_standstill(node)
         if "burst" in self.forms:
             self.crowds.append(
@@ -196,6 +220,15 @@
         )
         self.drained_at[old] = time.monotonic()
 
+    def take_address(self):
+        """Ends a backend; a process of another name, in another zone, comes up at its address."""
+        old = self.backends[1]
+        old.close()
+        new = Backend("b8", self.serve, zone="b", address=old.address)
+        self.backends.append(new)
+        time.sleep(self.random.choice((0.0, 0.1, 0.3)))  # until discovery knows
+        self.discovery.tell(old.entry("DELETED"), new.entry(since_ms=int(time.time() * 1000)))
+
     def flood(self, place):
         try:
             client = Client(place, 2)
@@ -251,6 +284,8 @@
             if "departures" in self.forms and chance.random() < 0.1:
                 time.sleep(chance.random() * 0.1)
                 sent.left_at = time.monotonic()
+                if "repeats" in self.forms:
+                    self.repeat(connection, sent, body)
                 return False
             answer = connection.answer()
             sent.status, sent.is_whole, sent.body = answer.status, answer.whole, answer.body
@@ -260,6 +295,12 @@
         sent.first_at = connection.first_byte_at or sent.ended_at
         return bool(sent.status) and sent.is_whole and answer.fields.get("connection") != "close"
 
+    def repeat(self, connection, sent, body):
+        """Sends the request of a client that has left once more, on a new connection."""
+        connection.close()
+        with contextlib.suppress(OSError), contextlib.closing(Client(self.place, 10)) as again:
+            again.send(request(sent.path, sent.trace_id, int(sent.wait_s * 1000), body)).answer()
+
     # The rules.
 
     def broken(self, node):
@@ -290,6 +331,8 @@
         ran = len(arrivals)
         if sent.path.startswith("/settle") and ran > 1 and not self.never_ran(sent):
             return f"duplicate: {where} ran {ran} times"
+        if sent.left_at is not None and "repeats" in self.forms:
+            return None  # The repeat may have been forwarded; that it ran once is checked above.
         if sent.left_at is not None:
             late = [e.at for e in arrivals if e.at > sent.left_at + LEFT_GRACE_S + SLACK_S]
             return late and f"lost: {where} began {late[0] - sent.left_at:.2f} s after its close"
--- a/tests/support/faulty_node.py
+++ b/tests/support/faulty_node.py
@@ -1,7 +1,8 @@
 """`python -m tests.support.faulty_node`: a node whose system calls fail now and then.
 
 $FAULTS is a JSON object: `seed`, and the share of calls that fail, by kind: `accept`, `socket`, `connect`,
-`broken` (reads of connections to backends), `short` (reads and writes that are cut short).
+`broken` (reads of connections to backends), `short` (reads and writes that are cut short), `file` (writes and syncs
+of files). `step_s`: by how much the wall clock is stepped every STEP_INTERVAL_S.
 """
 
 import errno
@@ -10,6 +11,7 @@
 import random
 import socket
 import sys
+import time
 
 import gevent
 import gevent.socket
@@ -35,6 +37,8 @@
     errno.ENOBUFS,
     errno.EINTR,
 )
+FILE_ERRORS = errno.ENOSPC, errno.EIO
+STEP_INTERVAL_S = 0.3
 BROKEN_ERRORS = errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET
 MAX_SHORT_BYTES = 40
 
@@ -105,7 +109,37 @@
     FaultyGeventSocket.is_armed = True
 
 
+def with_file_errors(call):
+    """Returns a call that fails now and then, or writes only half of its data, as a full disk may."""
+
+    def faulty(file, *arguments):
+        if file != sys.stdout.fileno() and strikes("file"):
+            if call is os.pwrite and CHANCE.random() < 0.5:
+                data, offset = arguments
+                return call(file, data[: len(data) // 2], offset)
+            raise failure(FILE_ERRORS)
+        return call(file, *arguments)
+
+    return faulty
+
+
+def step_wall_clock():
+    """Steps the wall clock forward and back in turn; the monotonic clock runs on."""
+    real_ns, began_ns = time.time_ns, time.monotonic_ns()
+
+    def offset_ns():
+        turns = (time.monotonic_ns() - began_ns) // int(STEP_INTERVAL_S * 1e9)
+        return int(FAULTS["step_s"] * 1e9) * (turns % 3 - 1)
+
+    time.time_ns = lambda: real_ns() + offset_ns()
+    time.time = lambda: time.time_ns() / 1e9
+
+
 if __name__ == "__main__":
+    if FAULTS.get("step_s"):
+        step_wall_clock()
+    for name in ("pwrite", "write", "fsync"):
+        setattr(os, name, with_file_errors(getattr(os, name)))
     FaultyGeventSocket.is_armed = False
     _socket3.socket._gevent_sock_class = FaultySocket
     gevent.socket.socket = FaultyGeventSocket
