A node that stands still within an iteration looks for news before it writes a request

Cause: the standstill fell between reading the clock and writing, so neither the drain nor the deadline that had passed meanwhile was known; earlier work covered only a process that stands still while it waits for events. Two new tests with a node that stands still for 0.8 s as it handles a request failed: the request was sent in both.

Before a request is written, the node now checks how long it has not looked for events. After 100 ms the attempt is written one step later, when discovery's news were read; what holds then (drain, deadline, time told) is computed again.

--- a/pierglade/proxy/event_loop.py
+++ b/pierglade/proxy/event_loop.py
@@ -23,6 +23,8 @@
 MAX_HEARTBEAT_LAG = 300
 # Ticks (50 ms). Time after that in which polls return what arrived meanwhile, until one waits.
 MAX_BACKLOG_TICKS = 500
+# 100 ms; a turn of that length does not write requests, as it may not know of a drain or a deadline
+MAX_TURN_BEFORE_SEND_NS = 100000000
 MIN_WAIT_AFTER_STANDSTILL_NS = 1000000  # 1 ms; caches are cold, and a poll takes longer
 
 
@@ -86,6 +88,10 @@
         ):
             watcher.start(callback)
 
+    def was_held_up(self) -> bool:
+        """Returns whether this turn has lasted so long that what it knows may be outdated."""
+        return time.monotonic_ns() - self.poll_ended_ns > MAX_TURN_BEFORE_SEND_NS
+
     def _beat(self):
         self.heartbeat_due_at = self.clock.now() + HEARTBEAT_TICKS
 
--- a/pierglade/proxy/server.py
+++ b/pierglade/proxy/server.py
@@ -48,6 +48,7 @@
     ConfigurationLoaded,
     EndpointsUpdated,
     MalformedRequest,
+    RequestHeldUp,
     SoleProcess,
     StopRequested,
     TimerFired,
@@ -167,7 +168,7 @@
             CloseWhenRead: lambda client, reason: client.io.close_when_read(reason),
             AbortConnection: self._end_connection,
             Connect: self._connect,
-            SendRequest: lambda connection, head, body: connection.io.write(head, body),
+            SendRequest: self._send_request,
             AbortUnlessWritten: lambda connection: connection.io.abort_unless_written(),
             StreamResponse: lambda connection: connection.io.stream_response(),
             CloseUpstream: self._end_connection,
@@ -391,6 +392,12 @@
             connection.io.end()
             connection.io = None
 
+    def _send_request(self, connection, head, body):
+        """Writes a request, unless discovery and clients were not listened to for too long."""
+        if not connection.is_health_check and self.loop_monitor.was_held_up():
+            return self.handle_event(RequestHeldUp(connection))
+        return connection.io.write(head, body)
+
     def _connect(self, connection):
         connection.io = UpstreamHandler(
             connection,
--- a/pierglade/proxy/state/attempts.py
+++ b/pierglade/proxy/state/attempts.py
@@ -160,6 +160,12 @@
         self.connections[attempt], connection.attempt = connection, attempt
         self.upstream.restart_timeout(connection)
 
+    def write_later(self, connection):
+        """Writes the attempt of a connection in a later step, if that is still right by then."""
+        if connection.attempt is not None:
+            pending = connection, connection.attempt
+            self.timers.schedule(self.step.now + RESEND_DELAY, self._write_delayed, pending)
+
     def _write_delayed(self, pending):
         connection, attempt = pending
         if connection.attempt is attempt and connection.state is BUSY:
--- a/pierglade/proxy/state/events.py
+++ b/pierglade/proxy/state/events.py
@@ -81,6 +81,12 @@
     client_closed: bool = True
 
 
+class RequestHeldUp(NamedTuple):
+    """Nothing was written upstream, as the process stood still since it last looked for events."""
+
+    connection: UpstreamConnection
+
+
 class ResponsePartReceived(NamedTuple):
     """A piece of a response has arrived; the response is not complete yet."""
 
--- a/tests/proxy/test_standstill.py
+++ b/tests/proxy/test_standstill.py
@@ -26,13 +26,15 @@
     respond(sock)
 
 
-class Standstill(unittest.TestCase):
+class StandstillCase(unittest.TestCase):
+    module = "pierglade"
+
     def setUp(self):
         self.backends = [Backend(f"b{n}", serve) for n in range(2)]
         self.discovery = Discovery([each.entry() for each in self.backends])
         times = {"expectedTimeUs": 3000000, "hardLimitUs": 5000000}
         settings = {**SETTINGS, "offerings": [offering("settle", "single_shot", **times)]}
-        self.node = NodeProcess(self.discovery, settings=settings).wait_ready()
+        self.node = NodeProcess(self.discovery, module=self.module, settings=settings).wait_ready()
         with ThreadPoolExecutor(CLIENTS) as pool:  # leaves connections to both backends
             list(pool.map(lambda n: self.node.ask("/settle", f"first-{n}"), range(CLIENTS)))
 
@@ -41,6 +43,19 @@
         for each in (self.discovery, *self.backends):
             each.close()
 
+    def received(self, backends):
+        return [
+            each
+            for backend in backends
+            for each in backend.received
+            if each.trace_id.startswith("during")
+        ]
+
+    def drain(self):
+        self.discovery.tell(self.backends[0].entry("DRAINING"))
+
+
+class Standstill(StandstillCase):
     def play(self, wait_ms, before=lambda: None, after=lambda: None):
         """Sends requests while the node stands still; returns their answers."""
         clients = [Client(self.node.place) for _ in range(CLIENTS)]
@@ -58,22 +73,11 @@
             client.close()
         return answers
 
-    def received(self, backends):
-        return [
-            each
-            for backend in backends
-            for each in backend.received
-            if each.trace_id.startswith("during")
-        ]
-
     def check_drain(self, **when):
         answers = self.play(3000, **when)
         self.assertEqual([each.status for each in answers], [200] * CLIENTS)
         self.assertEqual(self.received([self.backends[0]]), [])
 
-    def drain(self):
-        self.discovery.tell(self.backends[0].entry("DRAINING"))
-
     def test_nothing_is_sent_to_a_backend_that_drains_since_before_the_requests(self):
         self.check_drain(before=self.drain)
 
@@ -93,3 +97,31 @@
         longest_ms = wait_ms - 1000 * (STANDSTILL_S - SLACK_S)
         for each in self.received(self.backends):
             self.assertLess(int(each.fields["x-expires-in-ms"]), longest_ms)
+
+
+class HeldUpWithinAnIteration(StandstillCase):
+    """The node stands still between reading its clock and writing a request to a backend."""
+
+    module = "tests.support.held_up_node"
+
+    def send(self, wait_ms, meanwhile):
+        client = Client(self.node.place)
+        client.send(request("/settle/held-up", "during", wait_ms))
+        time.sleep(0.1)
+        meanwhile()
+        answer = client.answer()
+        client.close()
+        return answer
+
+    def test_nothing_is_sent_to_a_backend_that_began_to_drain_meanwhile(self):
+        answer = self.send(3000, lambda: [self.drain(), self.remove_other()])
+        self.assertEqual(self.received(self.backends), [])
+        self.assertEqual(answer.status, 503)
+
+    def remove_other(self):
+        self.discovery.tell(self.backends[1].entry("DRAINING"))
+
+    def test_nothing_is_sent_for_a_request_whose_time_was_up_meanwhile(self):
+        answer = self.send(300, lambda: None)
+        self.assertEqual(self.received(self.backends), [])
+        self.assertIn(answer.status, (503, 504))
