No request is shed for the time in which the node stood still

Callers saw 503 after a standstill of the node. The delay that is measured now ends where the node was idle after the arrival; a node that was busy all the time sheds as before (second test).

--- a/pierglade/proxy/state/requests.py
+++ b/pierglade/proxy/state/requests.py
@@ -147,7 +147,7 @@
         """Sheds a valid request or passes it on; `time_left`: ticks until its deadline."""
         message = client.message
         self.balancers.load_shedder.record_wait(
-            self.step.now, (self.step.now - self.step.arrived_at) / request_class.latency_objective
+            self.step.now, self.step.queueing_delay() / request_class.latency_objective
         )
         refused = (
             self.balancers.load_shedder.threshold
--- a/pierglade/proxy/state/step.py
+++ b/pierglade/proxy/state/step.py
@@ -15,6 +15,14 @@
         self.now, self.effects = max(now, self.now), []
         self.arrived_at, self.last_idle_at = min(arrived_at, self.now), last_idle_at
 
+    def queueing_delay(self):
+        """Returns how long the event has waited for others: not while the caller was idle since.
+
+        A caller that was idle after the event arrived had stood still.
+        """
+        was_idle = self.last_idle_at <= self.now
+        return self.now - (max(self.arrived_at, self.last_idle_at) if was_idle else self.arrived_at)
+
     def emit(self, effect):
         """Adds an effect."""
         self.effects.append(effect)
--- a/tests/proxy/test_standstill.py
+++ b/tests/proxy/test_standstill.py
@@ -5,6 +5,7 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
+from pierglade.proxy.state.events import RequestReceived
 from tests.support.node_process import (
     SETTINGS,
     Backend,
@@ -15,9 +16,11 @@
     request,
     respond,
 )
+from tests.support.scene import MS, StateMachineHarness, message
 
 STANDSTILL_S = 0.8  # longer than the grace of a drain, 0.5 s
 CLIENTS = 12
+REQUESTS = 40
 SLACK_S = 0.15  # of the deadline that a backend is told
 
 
@@ -125,3 +128,26 @@
         answer = self.send(300, lambda: None)
         self.assertEqual(self.received(self.backends), [])
         self.assertIn(answer.status, (503, 504))
+
+
+class LoadShedding(unittest.TestCase):
+    """What arrived during a standstill has not waited for other requests."""
+
+    def rejected_after(self, idle_ms):
+        """Returns how many requests are shed that arrived 0.8 s ago; `idle_ms`: since the node waited."""
+        harness = StateMachineHarness([f"b{n}" for n in range(REQUESTS)])
+        for n in range(REQUESTS):
+            harness.open(f"c{n}")
+            head = b"GET /look HTTP/1.1\r\nHost: h\r\nX-Trace-Id: %d\r\n\r\n" % n
+            harness.handle_event(
+                RequestReceived(harness.clients[f"c{n}"], message(head)),
+                arrived_at=harness.now - int(STANDSTILL_S * 1000) * MS,
+                last_idle_at=harness.now - idle_ms * MS,
+            )
+        return harness.state_machine.requests.shed_count
+
+    def test_no_request_is_shed_after_a_standstill(self):
+        self.assertEqual(self.rejected_after(idle_ms=0), 0)
+
+    def test_requests_are_shed_where_the_node_was_busy_for_as_long(self):
+        self.assertGreater(self.rejected_after(idle_ms=900), 0)
