A streamed response that is reset holds its descriptor until it is released

Found by reading for the same mistake: the one place that still closed a client's socket without counting its descriptor until gevent releases it. No failure was seen of it. test_slow_backends and test_sockets passed.

--- a/pierglade/proxy/downstream.py
+++ b/pierglade/proxy/downstream.py
@@ -401,7 +401,7 @@
         except OSError:
             body.abort_body()
         if body.is_aborted:
-            socket_io.reset(self.sock)
+            self.server.descriptor_release.close(self.sock, socket_io.reset)
             self.handle_event(ClientDisconnected(self.client, "response aborted before its end"))
         else:
             self._response_written(close_after)
