--- a/pierglade/proxy/downstream.py
+++ b/pierglade/proxy/downstream.py
@@ -1,7 +1,6 @@
 """The socket of a downstream connection: reads requests in a greenlet and writes responses."""
 
 import contextlib
-from collections import deque
 from time import monotonic_ns
 
 import gevent
@@ -20,6 +19,7 @@
 )
 from pierglade.proxy.http.message import CONTINUE_RESPONSE
 from pierglade.proxy.http.reader import CHUNK_LINES_PER_STEP, ProtocolError, RequestReader
+from pierglade.proxy.pipelined_reads import PipelinedReads
 from pierglade.proxy.request_arrival import RequestArrival
 from pierglade.proxy.state.constants import NEVER
 from pierglade.proxy.state.events import (
@@ -34,9 +34,6 @@
 )
 from pierglade.proxy.turn_limiter import CpuUse
 
-# Maximum number of reads of pipelined requests whose time is stored. It is bounded because a client
-# may send one byte at a time.
-MAX_PIPELINED_READS = 16
 # Maximum number of bytes that are read and discarded after the last response. If none were read, a
 # reset could destroy the response; but a client may send 60 MB more.
 MAX_DISCARD_BYTES = 1 << 20
@@ -96,8 +93,7 @@
         self.request_read_at = 0  # when the last bytes were read (ticks)
         self.is_next_scheduled = False  # whether a pipelined request is about to be handled
         self.is_reading_paused = False  # because pipelined requests fill the buffer
-        # (bytes read by then, time) of reads while requests wait behind the current one.
-        self.pipelined_reads = deque()
+        self.pipelined_reads = PipelinedReads(server.arrival_time)
         socket_io.set_up(sock)
         self.is_known = self.admission is not None and self.admission.is_known_client(
             self.now(), address
@@ -179,7 +175,7 @@
         self.requests.filled(byte_count)
         self.received += byte_count
         if self.is_next_scheduled:
-            self._note_pipelined()
+            self.pipelined_reads.record(self.received)
             return True
         arrived_at = self.arrival.incomplete_at
         if self.cpu_use.is_over_share():
@@ -196,7 +192,7 @@
                 return False  # This side has closed the connection during the wait.
         self._handle_input(arrived_at)
         if self.requests.in_use and self.requests.has_more():
-            self._note_pipelined()
+            self.pipelined_reads.record(self.received)
         return True
 
     def _reject_unparsed(self):
@@ -248,12 +244,10 @@
         if message is not None and self.requests.is_streamed:
             self._begin_body_stream(message)
         elif message is not None:
-            if self.pipelined_reads:
-                self.handle_event(
-                    RequestReceived(self.client, message), arrived_at=self._pipelined_arrival()
-                )
-            else:
-                self.handle_event(RequestReceived(self.client, message), arrived_at=arrived_at)
+            if self.pipelined_reads.reads:
+                taken = self.received - (self.requests.end - self.requests.position)
+                arrived_at = self.pipelined_reads.take(taken, not self.requests.has_more())
+            self.handle_event(RequestReceived(self.client, message), arrived_at=arrived_at)
         elif self.requests.has_begun():
             self.handle_event(RequestStarted(self.client, self.requests.body_bytes_received()))
             if self.requests.expects_continue():
@@ -440,26 +434,6 @@
         if self.requests.parser is not None and not self.is_discarding and not self.requests.in_use:
             self._handle_input()
 
-    # Pipelined requests (RFC 9112, 9.3.2).
-
-    def _note_pipelined(self):
-        """Stores when bytes arrived: the time of a pipelined request starts at its last byte."""
-        if len(self.pipelined_reads) == MAX_PIPELINED_READS:
-            # The earlier time is used: an arrival time may be too early, but not too late.
-            self.pipelined_reads[-1] = (self.received, self.pipelined_reads[-1][1])
-        else:
-            self.pipelined_reads.append((self.received, self.arrival_time()))
-
-    def _pipelined_arrival(self):
-        """Returns when the last byte of the message that was just read had arrived."""
-        taken_bytes = self.received - (self.requests.end - self.requests.position)
-        while self.pipelined_reads and self.pipelined_reads[0][0] < taken_bytes:
-            self.pipelined_reads.popleft()
-        arrived_at = self.pipelined_reads[0][1] if self.pipelined_reads else NEVER
-        if not self.requests.has_more():
-            self.pipelined_reads.clear()
-        return arrived_at
-
     def may_have_left_unseen(self) -> bool:
         """Returns whether the client may have closed long ago without this side noticing.
 
