A process with hardly any descriptors still accepts connections

The new test of the budget failed for such a limit; four descriptors are now always left to try. test_descriptor_limits and test_machine passed (51).

--- a/pierglade/proxy/state/descriptors.py
+++ b/pierglade/proxy/state/descriptors.py
@@ -22,6 +22,7 @@
 # Most clients that connect at once where the limit is reached: else a crowd would wait for seconds
 # to be rejected. Each takes a descriptor before that of the client it replaces is free.
 MAX_REPLACEMENTS = 8
+MIN_USABLE = 4  # descriptors for connections, however low the limit of the process is
 WAITING_CLIENT = object()  # stands for a client that is not accepted yet
 MIN_SILENCE_BEFORE_CLOSE = 200  # 20 ms; a normal client sends its first request earlier
 
@@ -98,7 +99,7 @@
 
     def _unused_descriptors(self):
         usable = self.limit + RESERVED_DESCRIPTORS - DISCOVERY_DESCRIPTORS + self.spare_count
-        return usable - self.open_count - self.unreleased_count
+        return max(usable, MIN_USABLE) - self.open_count - self.unreleased_count
 
     def is_over_reserve(self):
         """Returns whether so many connections exceed the limit that requests are only rejected."""
--- a/tests/proxy/test_descriptor_limits.py
+++ b/tests/proxy/test_descriptor_limits.py
@@ -57,6 +57,11 @@
         budget.unreleased_count = RESERVED_DESCRIPTORS
         self.assertEqual(budget.max_new_clients(LIMIT), 0)
 
+    def test_process_with_hardly_any_descriptors_still_accepts(self):
+        for limit in (-12, 0, RESERVED_DESCRIPTORS):
+            budget = DescriptorBudget(Step(0), None, limit, sole_process=False)
+            self.assertGreater(budget.max_new_clients(LIMIT), 0, limit)
+
 
 class WaitingClients(unittest.TestCase):
     def setUp(self):
