Errors of this machine's own calls are not taken for faults of a backend

Callers saw: with a single backend, and half of the calls failing (ENFILE, EMFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL), all of 20 requests got 503, though the backend was sound (new test). Cause: such an error ended the attempt as a failed connect, which ejects the backend; with several backends each got its share. The connection now tries again after 5 ms, until its time-out; other errors are the backend's as before.

--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -1,5 +1,7 @@
 """The socket of an upstream connection: reads responses in a greenlet and writes requests."""
 
+import contextlib
+import errno
 from collections.abc import Callable
 
 import gevent
@@ -29,6 +31,9 @@
 from pierglade.proxy.turn_limiter import TurnLimiter
 
 UNLIMITED_BYTES = 1 << 62  # the budget where none is given
+# Errors of this machine, not of a backend: no descriptor, memory or port is free for a moment.
+LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+LOCAL_RETRY_S = 0.005
 
 
 class UpstreamHandler:
@@ -46,12 +51,11 @@
         self.turn_limiter, self.descriptor_release = turn_limiter, descriptor_release
         # Memory for responses; `reserved_bytes` of it are in use here.
         self.budget, self.reserved_bytes = budget or BufferBudget(UNLIMITED_BYTES), 0
-        # Why no socket could be made, if so; `sock` is None then.
-        self.socket_error = None
-        try:
+        self.sock = None
+        self.is_ended = False  # whether the state machine has ended the connection
+        # Made at once, so that it counts as open; if that fails, `run` tries again.
+        with contextlib.suppress(OSError):
             self.sock = socket.socket()
-        except OSError as error:
-            self.sock, self.socket_error = None, error
         self.responses = ResponseReader()
         if turn_limiter is not None:
             self.responses.max_chunk_lines = CHUNK_LINES_PER_STEP
@@ -75,11 +79,7 @@
 
     def _run(self):
         try:
-            if self.socket_error is not None:
-                raise self.socket_error
-            host, _, port = self.connection.address.rpartition(":")
-            self.sock.connect((host, int(port)))
-            socket_io.set_up(self.sock)
+            self._connect()
         except OSError as error:
             return self._report_closed(
                 CloseCause.CONNECT_FAILED, f"connect failed: {error.strerror or error}"
@@ -90,6 +90,25 @@
         self.is_reused = self.connection.state is IDLE
         self.read()
 
+    def _connect(self):
+        """Connects; what this machine lacks for a moment is waited for until the time-out.
+
+        Raises:
+            OSError: the backend can't be reached, or the state machine has ended the connection.
+        """
+        host, _, port = self.connection.address.rpartition(":")
+        while True:
+            try:
+                self.sock = self.sock or socket.socket()
+                self.sock.connect((host, int(port)))
+                return socket_io.set_up(self.sock)
+            except OSError as error:
+                if error.errno not in LOCAL_ERRORS:
+                    raise
+                gevent.sleep(LOCAL_RETRY_S)
+                if self.is_ended:
+                    raise
+
     def read(self):
         """Reads responses until the connection ends, and reports the cause."""
         try:
@@ -375,6 +394,7 @@
 
     def end(self):
         """Ends the connection at once."""
+        self.is_ended = True
         self._abort_body()
         self.read_resumed.set()
         if self.sock is None:
--- a/tests/proxy/test_failing_system_calls.py
+++ b/tests/proxy/test_failing_system_calls.py
@@ -107,6 +107,28 @@
     def test_connections_cannot_be_made(self):
         self.play({"seed": 3, "connect": 0.3})
 
+    def test_errors_of_this_machine_are_no_faults_of_backends(self):
+        backend = Backend("b0", self.serve_and_close)
+        discovery = Discovery([backend.entry()])
+        faults = {"seed": 8, "socket": 0.5, "full": 0.3}
+        node = NodeProcess(
+            discovery,
+            module="tests.support.faulty_node",
+            environ={"FAULTS": json.dumps(faults)},
+        ).wait_ready()
+        try:
+            time.sleep(0.6)  # until calls fail
+            statuses = [node.ask("/settle", f"s{n}", WAIT_MS).status for n in range(REQUESTS)]
+            self.assertEqual(statuses, [200] * REQUESTS)
+        finally:
+            for each in (node, discovery, backend):
+                each.close()
+
+    @staticmethod
+    def serve_and_close(sock, received):
+        respond(sock, fields=b"Connection: close\r\n")
+        sock.close()
+
     def test_reads_and_writes_are_short(self):
         self.play({"seed": 4, "short": 0.5}, body=b"x" * 3000)
 
--- a/tests/support/faulty_node.py
+++ b/tests/support/faulty_node.py
@@ -1,6 +1,7 @@
 """`python -m tests.support.faulty_node`: a node whose system calls fail now and then.
 
-$FAULTS is a JSON object: `seed`, and the share of calls that fail, by kind: `accept`, `socket`, `connect`,
+$FAULTS is a JSON object: `seed`, and the share of calls that fail, by kind: `accept`, `socket`, `connect`, `full` (connect
+finds no buffer or port),
 `broken` (reads of connections to backends), `short` (reads and writes that are cut short), `file` (writes and syncs
 of files). `step_s`: by how much the wall clock is stepped every STEP_INTERVAL_S.
 """
@@ -40,6 +41,7 @@
 FILE_ERRORS = errno.ENOSPC, errno.EIO
 STEP_INTERVAL_S = 0.3
 BROKEN_ERRORS = errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET
+FULL_ERRORS = errno.ENOBUFS, errno.EADDRNOTAVAIL
 MAX_SHORT_BYTES = 40
 
 FAULTS = json.loads(os.environ.get("FAULTS", "{}"))
@@ -94,6 +96,8 @@
     def connect(self, address):
         if strikes("connect"):
             raise failure(CONNECT_ERRORS)
+        if FaultyGeventSocket.is_armed and strikes("full"):
+            raise failure(FULL_ERRORS)
         super().connect(address)
 
     def recv_into(self, *arguments):
