Responses are written by the client's handler again: the class of its own kept memory

Cause, by reading: the handler and its writer refer to each other, so the handler and its buffers stay until the collector of cycles runs.

--- a/pierglade/proxy/downstream.py
+++ b/pierglade/proxy/downstream.py
@@ -15,12 +15,12 @@
     STREAM_RESERVATION_BYTES,
     WINDOW,
     BodyStream,
+    ProgressReports,
 )
 from pierglade.proxy.http.message import CONTINUE_RESPONSE
 from pierglade.proxy.http.reader import CHUNK_LINES_PER_STEP, ProtocolError, RequestReader
 from pierglade.proxy.pipelined_reads import PipelinedReads
 from pierglade.proxy.request_arrival import RequestArrival
-from pierglade.proxy.response_writer import ResponseWriter
 from pierglade.proxy.state.constants import NEVER
 from pierglade.proxy.state.events import (
     BodyReceived,
@@ -80,13 +80,13 @@
         self.message = None  # the request whose body is being read
         self.discarded, self.max_discard_bytes = 0, MAX_DISCARD_BYTES  # bytes
         self.body_stream = None  # the BodyStream being read, where the body is too large to buffer
+        self.is_streaming_response = False  # a response is being streamed and is not complete
         # Bytes reserved from the budget: for a streamed body, and for the reader.
         self.reserved_bytes = self.reader_bytes = 0
         self.is_announced = False  # the state machine has received the request
         self.client = None  # the DownstreamConnection, set by the state machine
         # Returns when data read now is likely to have arrived.
         self.arrival_time = server.arrival_time
-        self.writer = ResponseWriter(sock, server, self)
         self.received = 0  # bytes read in all
         self.loop_monitor = server.loop_monitor
         self.arrival = RequestArrival(server.loop_monitor, self.now)
@@ -352,18 +352,56 @@
         if self.admission is not None and head[9:12] in MALFORMED_STATUSES:
             self.admission.record_fault(self.now(), self.address)
         self.monitor.response_sent(head, b"" if isinstance(body, BodyStream) else body)
-        self.writer.write(head, body, close_after, chunked)
+        if isinstance(body, BodyStream):
+            self.is_streaming_response = True
+            gevent.spawn(self._stream_body, head, body, close_after, chunked)
+            return
+        try:
+            unsent = socket_io.send_now(self.sock, head, body)
+        except OSError as error:
+            # Reported here, as the reading greenlet may be waiting for this response and would
+            # detect the failure only at its timeout.
+            return self.handle_event(
+                ClientDisconnected(self.client, f"connection lost: {error.strerror}")
+            )
+        if unsent:
+            gevent.spawn(self._write_rest, unsent, close_after)
+        else:
+            self._response_written(close_after)
+
+    def _write_rest(self, unsent, close_after):
+        self.budget.force(len(unsent))
+        try:
+            self.sock.sendall(unsent)
+        except OSError as error:
+            return self.handle_event(
+                ClientDisconnected(self.client, f"connection lost: {error.strerror}")
+            )
+        finally:
+            self.budget.release(len(unsent))
+        self._response_written(close_after)
 
-    def response_progressed(self):
-        """Reports that part of a streamed response was written."""
-        self.handle_event(ResponseProgressed(self.client))
+    def _stream_body(self, head, body, close_after, chunked):
+        """Streams a response; if it is aborted, resets the connection to show it is incomplete."""
+        progress = ProgressReports()
 
-    def client_lost(self, reason: str):
-        """Reports that the connection has ended before a response was written."""
-        self.handle_event(ClientDisconnected(self.client, reason))
+        def piece_sent():
+            if progress.is_due():
+                self.handle_event(ResponseProgressed(self.client))
+            self.turn_limiter.wait_if_busy()
+
+        try:
+            socket_io.stream_body(self.sock, head, body, chunked, piece_sent)
+        except OSError:
+            body.abort_body()
+        if body.is_aborted:
+            self.server.descriptor_release.close(self.sock, socket_io.reset)
+            self.handle_event(ClientDisconnected(self.client, "response aborted before its end"))
+        else:
+            self._response_written(close_after)
 
-    def response_written(self, close_after: bool):
-        """Reports a response that was written, and goes on with what the client sends."""
+    def _response_written(self, close_after):
+        self.is_streaming_response = False
         self.handle_event(ResponseSent(self.client))
         if close_after:
             # If the connection were closed with unread data, it would be reset and the response
@@ -421,7 +459,8 @@
         self._release_request()
         self.read_resumed.set()
         # A streamed response that is aborted by a timeout of either side must not look complete.
-        self.writer.close()
+        close = socket_io.reset if self.is_streaming_response else socket_io.close_now
+        self.server.descriptor_release.close(self.sock, close)
         if self.admission is not None:
             self.admission.connection_closed(self.now(), self.address)
             self.admission = None
