--- a/pierglade/config/logged.py
+++ b/pierglade/config/logged.py
@@ -106,9 +106,11 @@
     "resources": (
         "info",
         "what the process uses, every 2 s while it is in use: resident memory, buffered bodies, "
-        "share of one core, ids in use, connections by state, responses by status since the last "
-        "such line, and the first reason of each 4xx status",
-        "memory_mb, buffered_kb, cpu_ratio, recent_ids, downstream, upstream, responses, reasons",
+        "share of one core, ids in use, clients that had left when they were accepted, connections "
+        "by state, responses by status since the last such line, and the first reason of each 4xx "
+        "status",
+        "memory_mb, buffered_kb, cpu_ratio, recent_ids, departed_clients, downstream, upstream, "
+        "responses, reasons",
     ),
     "load_shed": (
         "warning",
