A process that its successor replaces still accepts what the kernel has queued for it

The new test of the budget failed (0). Whether a descriptor is free is now counted by all that the process has; clients beyond the halved limit are rejected at once, as before. test_descriptor_limits, test_machine and test_operations passed (68).

--- a/pierglade/proxy/state/descriptors.py
+++ b/pierglade/proxy/state/descriptors.py
@@ -98,7 +98,8 @@
         return max(0, min(wanted, self._unused_descriptors()))
 
     def _unused_descriptors(self):
-        usable = self.limit + RESERVED_DESCRIPTORS - DISCOVERY_DESCRIPTORS + self.spare_count
+        # Each process of an upgrade has all of its descriptors; half is what its clients may keep.
+        usable = self.full_limit + RESERVED_DESCRIPTORS - DISCOVERY_DESCRIPTORS + self.spare_count
         return max(usable, MIN_USABLE) - self.open_count - self.unreleased_count
 
     def is_over_reserve(self):
--- a/tests/proxy/test_descriptor_limits.py
+++ b/tests/proxy/test_descriptor_limits.py
@@ -57,6 +57,12 @@
         budget.unreleased_count = RESERVED_DESCRIPTORS
         self.assertEqual(budget.max_new_clients(LIMIT), 0)
 
+    def test_process_that_a_successor_replaces_still_accepts_what_is_queued(self):
+        budget = DescriptorBudget(Step(0), None, RESERVED_DESCRIPTORS + LIMIT, sole_process=True)
+        budget.open_count = LIMIT
+        budget.limit = budget.full_limit // 2  # as it stops
+        self.assertGreater(budget.max_new_clients(LIMIT), 0)
+
     def test_process_with_hardly_any_descriptors_still_accepts(self):
         for limit in (-12, 0, RESERVED_DESCRIPTORS):
             budget = DescriptorBudget(Step(0), None, limit, sole_process=False)
