--- /dev/null
+++ b/review/rig2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the second review: backends, discovery, clients and node processes."""
