Case 6: one-shot requests that ran are refused with 503 and run twice

Tried: connections reset under uploads while the node is busy, as a body's last piece is sent before the wait for the greenlet's turn and noted as written after it.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,7 @@
-"""A configuration file that is short of `group` is applied: stamped requests run in two zones."""
+"""One-shot requests that have run are refused with 503, and run again when their clients retry."""
 
-import signal
-import socket
-import struct
+import collections
+import subprocess
 import sys
 import threading
 import time
@@ -11,78 +10,109 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 from rig2 import rig
 
-KEYS = 12
-ZONES = {}  # what the backends of each zone remember: keys that have run
-LOCK = threading.Lock()
+BOXES, PER_PROCESS = 16, 4
+CLIENTS, SPELL_S, WAIT_MS = 60, 20.0, 6000
+BODY = b"x" * 1200000
+RESETS = 0.1  # share of the requests whose connection is reset after they have run
+BACKOFF_S = 0.05
+OFFERINGS = [
+    rig.offering(
+        "repayment",
+        "guarded",
+        group="zone",
+        repeatWindowUs=4000000,
+        expectedTimeUs=600000,
+        hardLimitUs=2000000,
+        credit=3,
+    ),
+    rig.offering("payout", "single_shot", expectedTimeUs=1500000, hardLimitUs=6000000, credit=2),
+]
 
 
-class ZonedBackend(rig.Backend):
-    """Drops repeats of a key together with its zone; resets its connections in a bad spell."""
+def start_boxes(stage: rig.Stage) -> tuple[list[dict], list[Path]]:
+    """Starts the backends; returns their entries in the list, and their ledgers."""
+    entries, ledgers = [], []
+    for first in range(0, BOXES, PER_PROCESS):
+        addresses = [rig.free_address() for _ in range(PER_PROCESS)]
+        ledgers.append(stage.folder / f"ledger-{first}")
+        ledgers[-1].touch()
+        ports = [each.rpartition(":")[2] for each in addresses]
+        script = str(rig.ROOT / "review/rig2/boxes.py")
+        share = str(RESETS if rig.TROUBLE else 0.0)
+        stage.processes.append(
+            subprocess.Popen([sys.executable, script, share, str(ledgers[-1]), *ports])
+        )
+        for number, address in enumerate(addresses, first):
+            name = f"app-{number}"
+            entries.append(
+                {"name": name, "address": address, "zone": "a", "type": "std-2c", "group": 1}
+                | {"status": "SERVING", "weight": 1.0, "since_ms": 0}
+            )
+    time.sleep(1.0)
+    return entries, ledgers
 
-    is_bad = False
 
-    def run(self, message: rig.Message):
-        """Runs a request unless its zone has run that key already."""
-        key = message.fields.get("idempotency-key", "")
-        with LOCK:
-            remembered = ZONES.setdefault(self.zone, set())
-            is_repeat = key in remembered
-            remembered.update([key] if key else [])
-        if is_repeat:
-            return self.record.add(self.name, "drops a repeat", id=message.id, key=key)
-        return super().run(message)
-
-    def answer(self, sock: socket.socket, message: rig.Message) -> bool:
-        """Answers, or resets the connection after the request has run."""
-        if not self.is_bad or not message.line.startswith("POST"):
-            return super().answer(sock, message)
-        self.record.add(self.name, "resets", id=message.id)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        return False
-
-
-def ask(stage: rig.Stage, node: rig.Node, path: str, number: int, key: str = ""):
-    """Sends one request on a connection of its own and reads its answer."""
-    client = stage.client(node)
-    trace_id = f"{path.strip('/')}-{number}"
-    client.send(rig.request_bytes(path, trace_id, key=key), trace_id)
-    client.answer(trace_id)
+def pay(stage: rig.Stage, node: rig.Node, number: int, end: float, answers: dict):
+    """Makes payouts one after another; after a refusal, the client tries once more."""
+    client = stage.client(node, f"client-{number}")
+    count = 0
+    while rig.seconds() < end:
+        count += 1
+        for attempt in (1, 2):
+            trace_id, path = f"{number}-{count}-{attempt}", f"/payout/{number}-{count}"
+            try:
+                client.send(rig.request_bytes(path, trace_id, WAIT_MS, body=BODY), trace_id)
+                answer = client.answer(trace_id)
+            except OSError:
+                answer = None
+            answers[trace_id] = answer.status if answer else 0
+            if answer is None or answer.fields.get("connection") == "close":
+                client.close()
+                client = stage.client(node, f"client-{number}")
+            if answers[trace_id] not in (429, 503):
+                break
+            time.sleep(BACKOFF_S)
     client.close()
 
 
 def case(stage: rig.Stage) -> str | None:
-    """Sends a broken file, then stamped requests while the backends of zone a reset connections."""
-    backends = [
-        stage.backend(name, zone, kind=ZonedBackend)
-        for name, zone in (("s-a1", "a"), ("s-a2", "a"), ("s-b1", "b"), ("s-b2", "b"))
-    ]
-    discovery = stage.discovery([each.entry() for each in backends])
-    config = stage.config(discovery, rig.settings(rig.KINGSTON))
-    node = stage.node(config)
+    """Plays clients with long bodies while connections are reset after requests have run."""
+    entries, ledgers = start_boxes(stage)
+    discovery = stage.discovery(entries)
+    node = stage.node(stage.config(discovery, rig.settings(OFFERINGS, connectTimeoutUs=200000)))
     node.wait_ready()
-    for number in range(20):
-        ask(stage, node, "/balance-check", number)
-        ask(stage, node, "/pump-hold", number, f"key-before-{number}")
-    rows = [dict(each) for each in rig.KINGSTON]
-    if rig.TROUBLE:
-        del rows[1]["group"]
-    node.write_config(config | {"settings": rig.settings(rows)})
-    stage.record.add("platform", "replaces the file", pump_hold=rows[1])
-    node.signal(signal.SIGHUP)
-    time.sleep(2.0)
-    for backend in backends:
-        backend.is_bad = backend.zone == "a"
-    for number in range(20, 20 + KEYS):
-        ask(stage, node, "/pump-hold", number, f"key-{number}")
-        ask(stage, node, "/balance-check", number)
-    runs = {}
-    for backend in backends:
-        for _, _, key in backend.ran:
-            runs.setdefault(key, []).append(backend.name)
-    doubled = {key: names for key, names in runs.items() if key and len(names) > 1}
-    for key, names in doubled.items():
-        stage.record.add("check", "ran more than once", key=key, at=",".join(names))
-    return f"{len(doubled)} of {KEYS} stamped requests ran twice" if doubled else None
+    answers, end = {}, rig.seconds() + SPELL_S
+    threads = [
+        threading.Thread(target=pay, args=(stage, node, number, end, answers))
+        for number in range(CLIENTS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    rows = [line.split() for path in ledgers for line in path.read_text().splitlines()]
+    for trace_id, path, outcome in rows:
+        stage.record.add("backend", "ran", id=trace_id, path=path, then=outcome)
+    runs = collections.Counter(path for _, path, _ in rows)
+    refused = [trace_id for trace_id, _, _ in rows if answers.get(trace_id) in (429, 503)]
+    twice = [path for path, count in runs.items() if count > 1]
+    stage.record.add("check", "answers", **{f"s{k}": v for k, v in _counted(answers).items()})
+    for trace_id in refused:
+        stage.record.add("check", "refused although it ran", id=trace_id)
+    for path in twice:
+        stage.record.add("check", "ran more than once", path=path)
+    if len(rows) < 100:
+        raise rig.NotRunError(f"only {len(rows)} requests ran")
+    if not refused:
+        return None
+    return (
+        f"{len(refused)} of {len(rows)} one-shot requests that ran were refused as harmless to "
+        f"repeat; {len(twice)} ran twice"
+    )
+
+
+def _counted(answers):
+    return dict(collections.Counter(answers.values()))
 
 
 rig.play(__file__, case)
