--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,7 +1,6 @@
 """A discovery that answers 0.3 s late after a move is never heard; drains are not followed."""
 
 import signal
-import socket
 import sys
 import time
 from pathlib import Path
@@ -23,28 +22,9 @@
         time.sleep(LATE_S if rig.TROUBLE else 0.0)
 
 
-class Drainable(rig.Backend):
-    """Turns away what comes while it drains."""
-
-    is_draining = False
-    turned_away = ()
-
-    def connection(self, sock: socket.socket):
-        """Serves the requests of one connection, one at a time."""
-        wire = rig.Wire(sock)
-        while (message := wire.message()) is not None:
-            if not self.is_draining:
-                self.run(message)
-                self.answer(sock, message)
-                continue
-            self.turned_away = (*self.turned_away, rig.seconds())
-            self.record.add(self.name, "drains, turns away", id=message.id)
-            sock.sendall(b"HTTP/1.1 503 .\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
-
-
 def case(stage: rig.Stage) -> str | None:
     """Moves discovery by SIGHUP, then lets a backend drain."""
-    backends = [stage.backend(name, kind=Drainable) for name in ("s-1", "s-2", "s-3")]
+    backends = [stage.backend(name, kind=rig.Drainable) for name in ("s-1", "s-2", "s-3")]
     entries = [each.entry() for each in backends]
     old = stage.discovery(entries)
     new = stage.discovery(entries, kind=SlowDiscovery, name="discovery-2")
--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -242,6 +242,25 @@
     return b"HTTP/1.1 %d .\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
 
 
+class Drainable(Backend):
+    """A backend that turns away what comes while it drains."""
+
+    is_draining = False
+    turned_away = ()  # when requests came while it drained
+
+    def connection(self, sock: socket.socket):
+        """Serves the requests of one connection, one at a time."""
+        wire = Wire(sock)
+        while (message := wire.message()) is not None:
+            if not self.is_draining:
+                self.run(message)
+                self.answer(sock, message)
+                continue
+            self.turned_away = (*self.turned_away, seconds())
+            self.record.add(self.name, "drains, turns away", id=message.id)
+            sock.sendall(b"HTTP/1.1 503 .\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+
+
 class Discovery(Server):
     """The agent of discovery: whole lists, and watches that are told each change at once."""
 
@@ -249,6 +268,7 @@
         self.record, self.name = record, name
         self.entries = {each["name"]: each for each in entries}
         self.index, self.changes, self.changed = 41, [], threading.Condition()
+        self.is_silent = False
         super().__init__()
 
     def tell(self, *entries: dict):
@@ -261,6 +281,17 @@
                 self.record.add(self.name, "tells", backend=each["name"], status=each["status"])
             self.changed.notify_all()
 
+    def set_silent(self, is_silent: bool):
+        """Begins or ends an outage, in which no call is answered and no watch is written to."""
+        with self.changed:
+            self.is_silent = is_silent
+            self.record.add(self.name, "falls silent" if is_silent else "is back")
+            self.changed.notify_all()
+
+    def _wait_out(self):
+        with self.changed:
+            self.changed.wait_for(lambda: not self.is_silent)
+
     def document(self) -> dict:
         """Returns the whole list; what is gone is not named."""
         rows = [each for each in self.entries.values() if each["status"] != "DELETED"]
@@ -273,6 +304,7 @@
             target = call.line.split(" ")[1]
             self.record.add(self.name, "is called", target=target)
             self.before_answer(target)
+            self._wait_out()
             since = re.search(r"since=(\d+)", target)
             if "follow=1" in target:
                 return self.watch(sock, int(since[1]) if since else 0)
@@ -292,6 +324,7 @@
             with self.changed:
                 if not lines and told == self.index:
                     self.changed.wait(2.0)
+                self.changed.wait_for(lambda: not self.is_silent)
                 for index, entries in self.changes:
                     if index > told:
                         row = {"index": index, "snapshot": False, "endpoints": list(entries)}
