attempt_failed says how much of a streamed request body was taken for sending

Change: for a request body that is streamed, `attempt_failed` has `body_bytes`, `body_bytes_taken` and `body_complete`.

--- a/pierglade/config/logged.py
+++ b/pierglade/config/logged.py
@@ -85,8 +85,10 @@
     ),
     "attempt_failed": (
         "warning",
-        "an attempt failed",
-        "backend, reason, outcome, request_id, or backend, status, unexecuted, request_id",
+        "an attempt failed; of a request body that was streamed, what was read, what of that was "
+        "taken for sending, and whether it was read to its end",
+        "backend, reason, outcome, request_id, body_bytes, body_bytes_taken, body_complete, or "
+        "backend, status, unexecuted, request_id",
     ),
     "deadline_overrun": (
         "error",
--- a/pierglade/proxy/state/upstream.py
+++ b/pierglade/proxy/state/upstream.py
@@ -236,6 +236,7 @@
             reason=reason,
             outcome=outcome.value,
             request_id=connection.request_id,
+            **_upload_progress(attempt),
         )
         self.attempts.report_outcome(attempt, outcome)
         # Only now, so that `recover_from_fault` finds its client.
@@ -266,6 +267,19 @@
         self.step.emit(CloseUpstream(connection))
 
 
+def _upload_progress(attempt):
+    """Returns the log fields that say how much of a streamed request body was taken for sending."""
+    message = attempt.request.caller_context.message  # None: answered or abandoned meanwhile
+    body = message.body_stream if message is not None else None
+    if body is None or not body.is_partly_taken:
+        return {}
+    return {
+        "body_bytes": body.size,
+        "body_bytes_taken": body.size - body.buffered_bytes,
+        "body_complete": body.is_complete,
+    }
+
+
 def _outcome(cause, request_written):
     """Returns the outcome of an attempt whose connection has ended."""
     if cause is CloseCause.MALFORMED_RESPONSE:
