A request counts as written in the turn in which the kernel took its last byte

Cause: `stream_body` let its caller wait for a turn after each piece of a body, the last one too, and the caller set `is_request_written` only after that. A reset seen by the reading greenlet in between was reported with the flag down, which makes it CONNECT_FAILED: never ran.

Change: after the last piece `stream_body` returns at once. No greenlet runs between the write and its record, so no event sees the one without the other, and no late record is taken for one of the next request. The same wait misled the end of a keyed request's window, the reuse of a connection whose response came in it, and streamed answers, which are sent by the same function.

--- a/pierglade/proxy/socket_io.py
+++ b/pierglade/proxy/socket_io.py
@@ -58,9 +58,11 @@
 
 
 def stream_body(sock, head: bytes, body, chunked: bool, on_progress, may_end=lambda: True) -> bool:
-    """Sends the BodyStream `body` as it is read; calls `on_progress` after each piece.
+    """Sends the BodyStream `body` as it is read; calls `on_progress` between its pieces.
 
-    `may_end`: called before the last byte. Returns whether the body was sent to its end.
+    `may_end`: called before the last byte. Returns whether the body was sent to its end, in the
+    same turn in which the kernel took its last byte: from then on the peer may act on the message,
+    so nothing may wait before the caller records that. `on_progress` may.
 
     Raises:
         OSError: the connection has ended.
@@ -75,6 +77,8 @@
             if is_last and not may_end():
                 return False
             sock.sendall(b"%x\r\n%s\r\n" % (len(piece), piece) if chunked else piece)
+            if is_last:
+                return True
             on_progress()
         else:
             changed.clear()
