No request is written behind an unsolicited answer that is still being parsed

What callers would see: a second copy of an answer, chunked in many small pieces, as the answer to the next request.

Change: the check also asks the reader whether a message has begun; the connection is then stale, nothing is written to it.

Test: test_request_is_not_written_behind_an_answer_that_is_being_read. Before: the second answer was reported as ResponseReceived for the next request. After: UpstreamClosed (stale), and the backend gets no byte.

--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -243,6 +243,13 @@
         self._abort_body()
         self.handle_event(UpstreamClosed(self.connection, cause, self.is_request_written, reason))
 
+    def _has_unsolicited_input(self):
+        """Returns whether the connection ended or got bytes while it was idle.
+
+        Bytes that were read may still wait for their turn to be parsed.
+        """
+        return self.responses.has_begun() or socket_io.is_readable(self.sock)
+
     def _has_no_client(self):
         """Returns whether the client of the request to be written has disconnected.
 
@@ -261,7 +268,7 @@
 
     def write(self, head: bytes, body):
         """Sends a request; `body`: bytes or a BodyStream."""
-        if self.is_reused and socket_io.is_readable(self.sock):
+        if self.is_reused and self._has_unsolicited_input():
             self.handle_event(
                 UpstreamClosed(
                     self.connection, CloseCause.STALE, False, "closed or sent bytes while idle"
