The framing of a request body is chosen with its head, not as its writer starts

What callers would see: a chunked request of about 1 MB in small chunks that fails at its backend.

Change: `write` chooses between `_write_kept_body` and `_write_body_stream`, which were two branches of one function. Beside it, four copies of the report of a failed write are one.

Test: FramingOfARequest.

--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -283,17 +283,14 @@
             self.handle_event(RequestNotSent(self.connection, False))
             return
         if isinstance(body, BodyStream):
-            gevent.spawn(self._write_body_stream, head, body)
+            # Chosen now, as the head is: by the time the greenlet runs, the body may be complete.
+            is_kept = body.is_complete and not body.is_partly_taken
+            gevent.spawn(self._write_kept_body if is_kept else self._write_body_stream, head, body)
             return
         try:
             unsent = socket_io.send_now(self.sock, head, body)
         except OSError as error:
-            self.handle_event(
-                UpstreamClosed(
-                    self.connection, CloseCause.RESET, False, f"connection lost: {error.strerror}"
-                )
-            )
-            return
+            return self._report_lost(False, error)
         if unsent:
             gevent.spawn(self._write_rest, unsent)
         else:
@@ -312,70 +309,64 @@
         except OSError as error:
             # The last piece may have been sent. The request counts as written, so that it is not
             # executed twice.
-            self.handle_event(
-                UpstreamClosed(
-                    self.connection, CloseCause.RESET, True, f"connection lost: {error.strerror}"
-                )
-            )
+            self._report_lost(True, error)
 
-    def _write_body_stream(self, head, body):
-        """Sends a body; a body that is buffered whole is kept for a retry, others are streamed."""
+    def _write_kept_body(self, head, body):
+        """Sends a body that was read to its end, and keeps it for a retry."""
+        if body.is_aborted:
+            return self._give_up("request body aborted before it was sent")
         try:
-            if body.is_complete and not body.is_partly_taken:
-                self.sock.sendall(head)
-                for piece in list(body.pieces):
-                    if self._has_no_client():
-                        return self._client_left()
-                    self.sock.sendall(piece)
-                self.is_request_written = not body.is_aborted
-            else:
-                self.is_request_written = socket_io.stream_body(
-                    self.sock,
-                    head,
-                    body,
-                    body.length is None,
-                    self._body_piece_sent,
-                    lambda: not self._has_no_client(),
-                )
-                if not self.is_request_written and not body.is_aborted:
+            self.sock.sendall(head)
+            for piece in list(body.pieces):
+                if self._has_no_client():
                     return self._client_left()
-            if body.is_aborted and self.connection.attempt is not None:
-                # If attempts are not cancelled, nothing else ends this one, whose body stays
-                # incomplete.
-                self.handle_event(
-                    UpstreamClosed(
-                        self.connection,
-                        CloseCause.CLIENT_GONE,
-                        False,
-                        "request body aborted before its end",
-                    )
-                )
+                self.sock.sendall(piece)
+            self.is_request_written = True
+        except OSError as error:
+            # The last byte was not sent, so the backend has not begun to execute the request.
+            self._report_lost(False, error)
+
+    def _write_body_stream(self, head, body):
+        """Sends a body as it is read; it can't be sent again."""
+        try:
+            self.is_request_written = socket_io.stream_body(
+                self.sock,
+                head,
+                body,
+                body.length is None,
+                self._body_piece_sent,
+                lambda: not self._has_no_client(),
+            )
         except OSError as error:
             # The request counts as written if its last piece was being sent, so that it is not
             # executed twice. Before that, the backend has not begun to execute it.
-            self.handle_event(
-                UpstreamClosed(
-                    self.connection,
-                    CloseCause.RESET,
-                    body.is_complete and not body.buffered_bytes,
-                    f"connection lost: {error.strerror}",
-                ),
-            )
+            return self._report_lost(body.is_complete and not body.buffered_bytes, error)
+        if body.is_aborted:
+            # If attempts are not cancelled, nothing else ends this one, whose body stays
+            # incomplete.
+            self._give_up("request body aborted before its end")
+        elif not self.is_request_written:
+            self._client_left()
 
     def _body_piece_sent(self):
         if self.turn_limiter is not None:
             self.turn_limiter.wait_if_busy()
 
+    def _report_lost(self, is_request_written, error):
+        """Reports that writing a request has failed."""
+        reason = f"connection lost: {error.strerror}"
+        self.handle_event(
+            UpstreamClosed(self.connection, CloseCause.RESET, is_request_written, reason)
+        )
+
     def _client_left(self):
+        self._give_up("client disconnected while its request was written")
+
+    def _give_up(self, reason):
         """Ends the attempt: a backend executes a request only once it has the last byte."""
         if self.connection.attempt is not None:
             self.handle_event(
-                UpstreamClosed(
-                    self.connection,
-                    CloseCause.CLIENT_GONE,
-                    False,
-                    "client disconnected while its request was written",
-                )
+                UpstreamClosed(self.connection, CloseCause.CLIENT_GONE, False, reason)
             )
 
     def abort_unless_written(self):
--- a/tests/proxy/test_request_written.py
+++ b/tests/proxy/test_request_written.py
@@ -174,6 +174,20 @@
                 upload.close()
 
 
+class FramingOfARequest(unittest.TestCase):
+    def test_body_that_ends_before_its_writer_runs_is_framed_as_its_head_says(self):
+        """Guards against a body without chunks behind a head that announces them."""
+        body = BodyStream(None)
+        body.add(b"first,")
+        upload = Upload(body, 0, True)
+        upload.handler.write(b"", body)
+        body.add(b"last")
+        body.finish()
+        sent = gevent.get_hub().threadpool.apply(read_request, (upload.backend, 0, True))
+        self.assertEqual(sent, b"6\r\nfirst,\r\n4\r\nlast\r\n0\r\n\r\n")
+        upload.close()
+
+
 class LastByteOfAnAnswer(unittest.TestCase):
     def test_streamed_answer_counts_as_sent_from_its_last_byte_on(self):
         """Guards against treating an answer that its client has read whole as incomplete."""
