The new process of an upgrade listens only once it shares the ids of sent requests

Cause: the new process could not open the files of sent ids (EIO), served all the same, and tried again after 1 s.

Change: it listens, and says yes to GET /status, once the files are open or the other process has ended. It tries each 0.1 s and logs a reason once. GET /status says "not ready" until then ("stopping" before).

TakeoverDescriptors now tells its new process that the ids are shared; its trace is as it was.

--- a/pierglade/proxy/server.py
+++ b/pierglade/proxy/server.py
@@ -47,6 +47,7 @@
 from pierglade.proxy.state.events import (
     ConfigurationLoaded,
     EndpointsUpdated,
+    IdsShared,
     MalformedRequest,
     RequestHeldUp,
     SoleProcess,
@@ -65,7 +66,8 @@
 
 # Ticks (50 ms). Delay of the next wakeup if the state machine failed to compute it.
 RETRY_WAKEUP_TICKS = 500
-SHARE_RETRY_S = 1.0  # between two attempts to open the files of sent ids
+# Between two attempts to open the files of sent ids, without which a successor does not listen.
+SHARE_RETRY_S = 0.1
 # Ticks (50 ms). A lag as long as the slack of responses means that the CPU is overloaded.
 MIN_LOGGED_LAG_TICKS = 500
 AFTER_NEXT_POLL_S = 0.0001  # a timer that is due fires only after the next poll
@@ -122,17 +124,21 @@
             ConnectionAdmission(config.caps) if config.caps is not None else None
         )
         self.faults = self.pending_reloads = 0
-        self._share_ids()
 
-    def _share_ids(self):
-        """Opens the files of sent ids; tries again later if that is not possible now."""
+    def _share_ids(self, last_error=None):
+        """Opens the files of sent ids; tries again later if that is not possible now.
+
+        `last_error`: the reason of the last failure, as it was logged.
+        """
         try:
             files = IdFiles(self.listener.address(), gevent.spawn_later)
         except OSError as error:
-            self.note("ids_not_shared", error=error.strerror)
-            gevent.spawn_later(SHARE_RETRY_S, self._share_ids)
+            if error.strerror != last_error:
+                self.note("ids_not_shared", error=error.strerror)
+            gevent.spawn_later(SHARE_RETRY_S, self._share_ids, error.strerror)
         else:
-            self.state_machine.requests.executed_ids.exchange = files
+            self.state_machine.requests.executed_ids.share(files)
+            self.handle_event(IdsShared())
 
     def _restore(self, config):
         """Loads the initial endpoint list and the snapshot, and creates the discovery client."""
@@ -191,6 +197,7 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(signal_number, self._stop)
         gevent.signal_handler(signal.SIGHUP, self._reload, reload_config)
+        self._share_ids()
         self.spawn(self.discovery.run)
         self.spawn(self.monitor.run)
         if self.management:
--- a/pierglade/proxy/state/events.py
+++ b/pierglade/proxy/state/events.py
@@ -150,6 +150,10 @@
     """The process that served this address before has ended."""
 
 
+class IdsShared(NamedTuple):
+    """The files are open through which processes of this node share the ids of sent requests."""
+
+
 class StopRequested(NamedTuple):
     """The process was requested to stop."""
 
--- a/pierglade/proxy/state/executed_ids.py
+++ b/pierglade/proxy/state/executed_ids.py
@@ -34,6 +34,10 @@
         self.exchange: IdExchange | None = None
         self._expiries: OrderedDict[bytes, int] = OrderedDict()
 
+    def share(self, exchange: IdExchange):
+        """Shares ids from now on."""
+        self.exchange = exchange
+
     def contains(self, now: int, digest: bytes) -> bool:
         """Returns whether a request with this fingerprint is known to have been sent already."""
         return self._expiries.get(digest, 0) > now
--- a/pierglade/proxy/state/lifecycle.py
+++ b/pierglade/proxy/state/lifecycle.py
@@ -39,9 +39,9 @@
         self.balancers = balancers
         self.descriptors = descriptors
         self.ready = False
-        # In a takeover, the process listens as soon as it has a valid endpoint list. Until then the
-        # earlier process serves.
-        self.listening = sole_process
+        # In a takeover, the process listens as soon as it has a valid endpoint list and shares the
+        # ids of sent requests with the earlier process. Until then that one serves.
+        self.listening = self.may_listen = sole_process
         self.stopped_at = None
         self.standby = False  # set by operators; client connections are closed
         self.may_exit = self.exiting = False
@@ -56,7 +56,15 @@
     def become_ready(self):
         """Starts listening with a valid endpoint list, unless the process stops."""
         self.ready = True
-        if not self.listening and self.stopped_at is None:
+        self._open_listener()
+
+    def ids_shared(self):
+        """Allows listening: each of two processes knows which ids the other one has sent."""
+        self.may_listen = True
+        self._open_listener()
+
+    def _open_listener(self):
+        if self.ready and self.may_listen and not self.listening and self.stopped_at is None:
             self.listening = True
             self.step.emit(OpenListener())
 
@@ -80,6 +88,8 @@
         """Raises the descriptor limit: the process that served here before has ended."""
         self.descriptors.limit = self.descriptors.full_limit
         self.step.log("sole_process")
+        self.may_listen = True  # There is no one else to share ids with.
+        self._open_listener()
 
     def stop(self, successor_running=False):
         """Stops listening after a delay; each client is closed after its next response."""
--- a/pierglade/proxy/state/machine.py
+++ b/pierglade/proxy/state/machine.py
@@ -25,6 +25,7 @@
     ConnectionWaiting,
     DiscoveryLost,
     EndpointsUpdated,
+    IdsShared,
     MalformedRequest,
     ManagementCall,
     RequestHeldUp,
@@ -165,6 +166,7 @@
             ConfigurationLoaded: self.reconfiguration.loaded,
             ManagementCall: self.management.called,
             SoleProcess: self.lifecycle.sole_process,
+            IdsShared: self.lifecycle.ids_shared,
             StopRequested: self.lifecycle.stop,
             TimerFired: _do_nothing,
         }
--- a/pierglade/proxy/state/management.py
+++ b/pierglade/proxy/state/management.py
@@ -67,7 +67,7 @@
             )
             answer = (
                 b"not ready"
-                if not self.lifecycle.ready
+                if not self.lifecycle.ready or not self.lifecycle.listening
                 else b"stopping"
                 if not is_ok
                 else (b"standby" if self.lifecycle.standby else b"active")
--- a/tests/proxy/test_operations.py
+++ b/tests/proxy/test_operations.py
@@ -18,6 +18,7 @@
 from pierglade.proxy import management, takeover
 from pierglade.proxy.state.events import (
     ConfigurationLoaded,
+    IdsShared,
     ManagementCall,
     RequestReceived,
     SoleProcess,
@@ -195,6 +196,7 @@
             4, new.state_machine.balancers.settings, new.now, 100, sole_process=False
         )
         lines = []
+        new.handle_event(IdsShared())
         for name, one in (("old", harness), ("new", new)):
             one.update_endpoints(["b0"])
             one.record(f"{name}: budget {one.state_machine.descriptors.limit}")
