Ids that were sent before the files of an upgrade could be opened are told once they are

What callers would see: a one-shot id that runs at both processes of an upgrade.

Cause: while a process could not open the files of sent ids, it kept the ids to itself, also after the files were open.

Change: as the files open, the ids known by then are written to them.

Test: test_ids_sent_before_the_files_could_be_opened_are_shared_later. Before: the new process ran the repeat (200).

--- a/pierglade/proxy/id_exchange.py
+++ b/pierglade/proxy/id_exchange.py
@@ -93,6 +93,11 @@
         received, self.pending = self.pending, []
         return received
 
+    def publish(self, digests: list[bytes]):
+        """Writes records of requests that were sent before the files could be opened."""
+        self.unpublished += digests
+        self.write()
+
     def write(self):
         """Writes what is not written yet; what can't be written is kept for the next call."""
         try:
--- a/pierglade/proxy/state/executed_ids.py
+++ b/pierglade/proxy/state/executed_ids.py
@@ -21,6 +21,9 @@
     def exchange(self, digest: bytes) -> list[bytes]:
         """Tells the other process that a request is sent now; returns what it has sent since."""
 
+    def publish(self, digests: list[bytes]):
+        """Tells the other process of requests that were sent before."""
+
 
 def fingerprint(request_id: bytes) -> bytes:
     """Returns a short digest of an id, equal in all processes."""
@@ -35,8 +38,9 @@
         self._expiries: OrderedDict[bytes, int] = OrderedDict()
 
     def share(self, exchange: IdExchange):
-        """Shares ids from now on."""
+        """Shares ids from now on, and those that were sent before that was possible."""
         self.exchange = exchange
+        exchange.publish(list(self._expiries))
 
     def contains(self, now: int, digest: bytes) -> bool:
         """Returns whether a request with this fingerprint is known to have been sent already."""
--- a/tests/proxy/test_upgrade_ids.py
+++ b/tests/proxy/test_upgrade_ids.py
@@ -80,6 +80,19 @@
         self.check_repeats(new)
         self.assertEqual(new.ask("/settle", "fresh").status, 200)
 
+    def test_ids_sent_before_the_files_could_be_opened_are_shared_later(self):
+        """Guards against ids that are never told as they were sent while the files failed."""
+        folder_owner = self.start().wait_ready()  # for its folder
+        folder_owner.process.kill()
+        folder_owner.process.wait()
+        self.mark(folder_owner)
+        old = self.start(folder=folder_owner.folder).wait_ready()
+        self.assertEqual(old.ask("/settle", "once").status, 200)
+        self.unmark(old)
+        new = self.start(listen="%s:%d" % old.place, folder=old.folder)
+        wait_until(lambda: self.is_serving(new), LIMIT_S, "the new process serves")
+        self.check_repeats(new)
+
     def test_new_process_serves_once_the_other_one_has_ended(self):
         old = self.start().wait_ready()
         new = self.start_successor(old)
