No request with an effect is sent at an upgrade while its id can't be shared

Cause: where the write of the record of an id failed (EIO), it was left for later and the request was sent at once; the other process could send the same id meanwhile. The same for a read of the other process's records that failed.

Change: with another process there, a record is tried three times at once; if it is still not written, or the other's records can't be read, the attempt counts as not sent, and the client gets 503. Safe requests are sent. A sole process sends as before. Beside it, failing writes are tried again by one timer, not one for each request.

--- a/pierglade/proxy/id_exchange.py
+++ b/pierglade/proxy/id_exchange.py
@@ -25,6 +25,7 @@
 # for as often. A process that finds another one waits for as long.
 INTERVAL_S = 0.05
 INTERVAL_NS = int(INTERVAL_S * 1e9)
+WRITE_TRIES = 3  # at once, as a request waits for its record
 LOCK_TRIES, LOCK_RETRY_S = 5, 0.001  # the other process may hold a lock for a moment
 RETENTION_MS = RETENTION // 10
 NOTHING = []  # received, in most calls
@@ -61,9 +62,10 @@
         self.next_own = max((each[SEQUENCE] for each in own_records), default=0) + 1
         self.next_other = max((each[SEQUENCE] for each in other_records), default=0) + 1
         self.pending = _fresh(own_records) + _fresh(other_records)
-        self.unpublished = []
+        self.unpublished, self.is_write_scheduled = [], False
         self.other_exists, self.check_at_ns = False, 0
         self.write_error = None  # the first error since the last successful write
+        self.is_read = True  # whether the other process's file was read up to its end
 
     def _lock_one(self):
         """Locks a file that is free, and puts it first."""
@@ -84,20 +86,40 @@
         if self.other_exists or time.monotonic_ns() >= self.check_at_ns:
             self._look_for_other()
         if self.other_exists:
-            self.write()
+            self._write_now()
             self._read_available()
-        elif len(self.unpublished) == 1:
-            self.call_later(INTERVAL_S, self.write)
+        else:
+            self._write_later()
         if not self.pending:
             return NOTHING
         received, self.pending = self.pending, []
         return received
 
+    def is_up_to_date(self) -> bool:
+        """Returns whether the last exchange told and asked everything, if another process runs."""
+        return not self.other_exists or (not self.unpublished and self.is_read)
+
     def publish(self, digests: list[bytes]):
         """Writes records of requests that were sent before the files could be opened."""
         self.unpublished += digests
         self.write()
 
+    def _write_now(self):
+        """Writes until nothing is left, at most WRITE_TRIES times."""
+        for _ in range(WRITE_TRIES):
+            self.write()
+            if not self.unpublished:
+                return
+
+    def _write_later(self):
+        if not self.is_write_scheduled:
+            self.is_write_scheduled = True
+            self.call_later(INTERVAL_S, self._write_scheduled)
+
+    def _write_scheduled(self):
+        self.is_write_scheduled = False
+        self.write()
+
     def write(self):
         """Writes what is not written yet; what can't be written is kept for the next call."""
         try:
@@ -119,14 +141,15 @@
             self.write_error = self.write_error or error
             del self.unpublished[:-MAX_IDS]
         if self.unpublished and self.files:
-            self.call_later(INTERVAL_S, self.write)
+            self._write_later()
 
     def _read_available(self):
         try:
             while new := self._read_new():
                 self.pending += new
+            self.is_read = True
         except OSError:
-            pass  # Read with the next call.
+            self.is_read = False  # Read with the next call.
 
     def _look_for_other(self):
         now_ns = time.monotonic_ns()
--- a/pierglade/proxy/state/attempts.py
+++ b/pierglade/proxy/state/attempts.py
@@ -203,10 +203,8 @@
                 (connection, attempt),
             )
         client = attempt.request.caller_context
-        if (digest := client.unclaimed_fingerprint) is not None:
-            client.unclaimed_fingerprint = None
-            if not self.requests.may_send(client, digest):
-                return self.withdraw(connection, Outcome.NOT_SENT)
+        if not self.requests.may_send(client):
+            return self.withdraw(connection, Outcome.NOT_SENT)
         message = client.message
         headers = http.forwarded_headers(message, REPLACED_HEADERS)
         flow, request = message.body_stream, attempt.request
--- a/pierglade/proxy/state/executed_ids.py
+++ b/pierglade/proxy/state/executed_ids.py
@@ -8,6 +8,8 @@
 from hashlib import blake2b
 from typing import Protocol
 
+from pierglade.errors import PiergladeError
+
 # Times are tenths of a millisecond.
 
 RETENTION = 600000  # 60 s; longer than any client waits for a response
@@ -15,12 +17,22 @@
 FINGERPRINT_BYTES = 8
 
 
+class IdNotSharedError(PiergladeError):
+    """The other process could not be told of a request, or asked which ones it has sent."""
+
+    def __init__(self):
+        super().__init__("the files of sent ids can't be written or read now")
+
+
 class IdExchange(Protocol):
     """Tells the other process of this node which ids were sent, and what it has sent."""
 
     def exchange(self, digest: bytes) -> list[bytes]:
         """Tells the other process that a request is sent now; returns what it has sent since."""
 
+    def is_up_to_date(self) -> bool:
+        """Returns whether the last exchange told and asked everything, if another process runs."""
+
     def publish(self, digests: list[bytes]):
         """Tells the other process of requests that were sent before."""
 
@@ -51,10 +63,15 @@
 
         The own record is written before that of the other process is read: if both send at once,
         at least one of them sees the other.
+
+        Raises:
+            IdNotSharedError: that is not possible now; nothing is recorded here.
         """
         if self.exchange is not None:
             for received in self.exchange.exchange(digest):
                 self._add(now, received)
+            if not self.exchange.is_up_to_date():
+                raise IdNotSharedError
         is_free = self._expiries.get(digest, 0) <= now
         self._add(now, digest)
         return is_free
--- a/pierglade/proxy/state/requests.py
+++ b/pierglade/proxy/state/requests.py
@@ -17,7 +17,7 @@
     READY_PATH,
 )
 from pierglade.proxy.state.downstream import CLIENT_IDLE_TIMEOUT
-from pierglade.proxy.state.executed_ids import ExecutedIds, fingerprint
+from pierglade.proxy.state.executed_ids import ExecutedIds, IdNotSharedError, fingerprint
 from pierglade.settings.platform import floor_ticks
 
 # Times are tenths of a millisecond.
@@ -302,12 +302,23 @@
         self.fingerprint = fingerprint(request_id)
         return request_id in self.ids or self.executed_ids.contains(self.step.now, self.fingerprint)
 
-    def may_send(self, client, digest):
-        """Returns whether the request of a client may be sent to a backend for the first time.
+    def may_send(self, client):
+        """Returns whether the request of a client may be sent to a backend.
 
-        Refuses it if the other process of an upgrade has sent it meanwhile.
+        Before its first attempt, refuses it if the other process of an upgrade has sent it
+        meanwhile. While that is unknown, only a safe request may be sent.
         """
-        if self.executed_ids.claim(self.step.now, digest):
+        digest = client.unclaimed_fingerprint
+        if digest is None:
+            return True
+        try:
+            is_free = self.executed_ids.claim(self.step.now, digest)
+        except IdNotSharedError:
+            if client.request.request_class.idempotency is not Idempotency.SAFE:
+                return False
+            is_free = True
+        client.unclaimed_fingerprint = None
+        if is_free:
             return True
         client.request.owner.client_disconnected(self.step.now, client.request)
         self.downstream.refuse(client, 400, ID_IN_USE, last=True)
--- a/tests/proxy/test_id_exchange.py
+++ b/tests/proxy/test_id_exchange.py
@@ -9,7 +9,13 @@
 
 from pierglade.proxy import id_exchange
 from pierglade.proxy.id_exchange import RECORD, IdFiles
-from pierglade.proxy.state.executed_ids import MAX_IDS, RETENTION, ExecutedIds
+from pierglade.proxy.state.executed_ids import (
+    MAX_IDS,
+    RETENTION,
+    ExecutedIds,
+    IdNotSharedError,
+)
+from tests.support.scene import StateMachineHarness
 
 ADDRESS = "127.0.0.1:8081"
 
@@ -117,3 +123,66 @@
         self.assertLessEqual(sum(claimed), 1)
         self.assertTrue(all(each.contains(1, digest(5)) for each in processes))
         self.assertFalse(processes[0].contains(RETENTION + 1, digest(5)))
+
+    def test_request_is_not_sent_while_its_id_can_not_be_shared(self):
+        """Guards against an unsafe id that runs at both processes as its record is missing."""
+        processes = [ExecutedIds(), ExecutedIds()]
+        for each in processes:
+            each.exchange = self.open()
+        error = OSError(errno.EIO, os.strerror(errno.EIO))
+        for call in ("pwrite", "pread"):
+            with mock.patch.object(id_exchange.os, call, side_effect=error):
+                with self.assertRaises(IdNotSharedError):
+                    processes[0].claim(0, digest(5))
+        self.assertTrue(processes[0].claim(0, digest(5)))  # It was not sent, so it may be now.
+        self.assertFalse(processes[1].claim(0, digest(5)))
+
+    def test_request_of_a_sole_process_is_sent_while_its_folder_fails(self):
+        sole = ExecutedIds()
+        sole.exchange = self.open()
+        error = OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        with mock.patch.object(id_exchange.os, "pwrite", side_effect=error):
+            self.assertTrue(sole.claim(0, digest(5)))
+
+    def test_write_that_fails_for_a_moment_delays_no_request(self):
+        processes = [ExecutedIds(), ExecutedIds()]
+        for each in processes:
+            each.exchange = self.open()
+        write, failures = os.pwrite, iter((True, False, True, False, False))
+
+        def fail_first(file, data, offset):
+            if next(failures):
+                raise OSError(errno.EIO, os.strerror(errno.EIO))
+            return write(file, data, offset)
+
+        with mock.patch.object(id_exchange.os, "pwrite", fail_first):
+            claimed = [processes[0].claim(0, digest(number)) for number in (1, 2, 3)]
+        self.assertEqual(claimed, [True, True, True])
+        self.assertFalse(any(processes[1].claim(0, digest(number)) for number in (1, 2, 3)))
+
+    def test_failing_writes_are_tried_again_by_one_timer(self):
+        """Guards against a timer for each request while a folder fails."""
+        files, error = self.open(), OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        with mock.patch.object(id_exchange.os, "pwrite", side_effect=error):
+            for number in range(1, 100):
+                files.exchange(digest(number))
+                files.write()
+        self.assertEqual(len(self.later), 1)
+
+
+class UnsharedIds(unittest.TestCase):
+    def test_request_with_an_effect_is_rejected_while_its_id_can_not_be_shared(self):
+        """A safe one is sent; the others are known not to have run, so they may come again."""
+        for path, is_sent in (("/look", True), ("/hold", False), ("/pay", False)):
+            harness = StateMachineHarness(["b0", "b1"])
+            exchange = mock.Mock(exchange=lambda _: [], is_up_to_date=lambda: False)
+            harness.state_machine.requests.executed_ids.exchange = exchange
+            harness.send_request("c0", path)
+            for _ in range(3):
+                harness.connect_upstream()
+                harness.after(50)
+            with self.subTest(path):
+                text = "\n".join(harness.lines)
+                self.assertEqual("SendRequest" in text, is_sent)
+                self.assertEqual("SendResponse c0 HTTP/1.1 503" in text, not is_sent)
+                self.assertNotIn("504", text)
