Connections rest 300 ms longer where a backend has sent bytes that answer no request

Cause: a connection is used again 10 ms after a response. A second answer that is lost on its way is sent again by TCP after 200 ms or more, by then behind another request. Second answers that came in time were seen by the hundred, and nothing was drawn from them.

Change: bytes behind a response, or on an idle connection, are told to the state machine (`unsolicited_bytes` in the log). The backend's connections rest 300 ms on top until 60 s after the last of them. Others are not touched.

--- a/pierglade/config/logged.py
+++ b/pierglade/config/logged.py
@@ -90,6 +90,12 @@
         "backend, reason, outcome, request_id, body_bytes, body_bytes_taken, body_complete, or "
         "backend, status, unexecuted, request_id",
     ),
+    "unsolicited_bytes": (
+        "warning",
+        "a backend sent bytes that answer no request, such as a second response; its connections "
+        "rest for longer, until 60 s after the last of them",
+        "backend",
+    ),
     "deadline_overrun": (
         "error",
         "a request was still pending 2.5 ms before its deadline and failed; a bug in pierglade",
--- a/pierglade/proxy/state/attempts.py
+++ b/pierglade/proxy/state/attempts.py
@@ -137,13 +137,13 @@
         if backend is None or self.endpoints.is_draining(backend):
             return self.report_outcome(attempt, Outcome.REJECTED_UNPROCESSED)
         # The most recently used connection is preferred, so that surplus connections reach the idle
-        # timeout. No connection is reused within the reuse delay.
-        reuse_delay = backend.reuse_delay()
+        # timeout. No connection is reused while it rests.
+        rest_time = backend.rest_time(self.step.now)
         connection = next(
             (
                 connection
                 for connection in reversed(backend.idle)
-                if self.step.now - connection.since >= reuse_delay
+                if self.step.now - connection.since >= rest_time
             ),
             None,
         )
--- a/pierglade/proxy/state/connections.py
+++ b/pierglade/proxy/state/connections.py
@@ -2,7 +2,11 @@
 
 from enum import StrEnum
 
-from pierglade.proxy.state.constants import REUSE_DELAY
+from pierglade.proxy.state.constants import (
+    DUPLICATES_EXPECTED_FOR,
+    RETRANSMISSION_DELAY,
+    REUSE_DELAY,
+)
 
 
 class ConnectionState(StrEnum):
@@ -173,6 +177,7 @@
         "min_connect_time",
         "name",
         "open_connections",
+        "sends_duplicates_until",
         "started",
         "state",
         "was_draining",
@@ -194,6 +199,7 @@
         self.entry = None
         self.is_superseded = False  # whether the process of another name has its address now
         self.incarnation = 0  # number of restarts: processes that had the name before
+        self.sends_duplicates_until = 0  # until when more unsolicited responses are expected
 
     def is_current(self, connection):
         """Returns whether a connection was opened to the process that has the name now."""
@@ -212,6 +218,20 @@
         """
         return REUSE_DELAY + (self.min_connect_time or 0) // 2
 
+    def unsolicited_bytes_received(self, now):
+        """Records that it sent bytes that answer no request, such as a duplicate response."""
+        self.sends_duplicates_until = now + DUPLICATES_EXPECTED_FOR
+
+    def rest_time(self, now):
+        """Returns for how long a connection is not reused after a response that was received now.
+
+        Where duplicates come, one of them may be lost on its way and sent again by TCP.
+        """
+        reuse_delay = self.reuse_delay()
+        if now < self.sends_duplicates_until:
+            return reuse_delay + RETRANSMISSION_DELAY
+        return reuse_delay
+
 
 def set_state(connection, state, by_state):
     """Changes the state of a connection and appends it to the connections in that state."""
--- a/pierglade/proxy/state/constants.py
+++ b/pierglade/proxy/state/constants.py
@@ -7,6 +7,10 @@
 RESERVED_DESCRIPTORS = 16
 DISCOVERY_DESCRIPTORS = 4  # connections to discovery, of which one may replace another
 REUSE_DELAY = 100  # 10 ms; backends send duplicate responses some milliseconds after the first
+# 300 ms; a lost duplicate is sent again by TCP after 200 ms or more (the least on Linux)
+RETRANSMISSION_DELAY = 3000
+# 60 s; how long a backend counts as one that sends duplicates after the last of them
+DUPLICATES_EXPECTED_FOR = 600000
 # Bytes per tick, which is 32 kB/s; half the rate of slow clients and backends. A body that arrives
 # more slowly is taken for one that never ends.
 MIN_BODY_RATE = 3.2
--- a/pierglade/proxy/state/events.py
+++ b/pierglade/proxy/state/events.py
@@ -102,6 +102,12 @@
     message: Any
 
 
+class UnsolicitedBytesReceived(NamedTuple):
+    """A backend sent bytes behind a response, or while the connection was idle."""
+
+    connection: UpstreamConnection
+
+
 class ResponseCompleted(NamedTuple):
     """A streamed response is complete."""
 
@@ -174,5 +180,6 @@
         ResponseSent,
         ResponsePartReceived,
         ResponseCompleted,
+        UnsolicitedBytesReceived,
     )
 )
--- a/pierglade/proxy/state/machine.py
+++ b/pierglade/proxy/state/machine.py
@@ -40,6 +40,7 @@
     SoleProcess,
     StopRequested,
     TimerFired,
+    UnsolicitedBytesReceived,
     UpstreamClosed,
     UpstreamConnected,
 )
@@ -160,6 +161,7 @@
             RequestNotSent: self.upstream.request_not_sent,
             ResponsePartReceived: self.responses.part_received,
             ResponseReceived: self.responses.received,
+            UnsolicitedBytesReceived: self.upstream.unsolicited_bytes,
             UpstreamClosed: self.upstream.disconnected,
             EndpointsUpdated: self.endpoints.updated,
             DiscoveryLost: self.endpoints.discovery_lost,
--- a/pierglade/proxy/state/responses.py
+++ b/pierglade/proxy/state/responses.py
@@ -106,6 +106,7 @@
         if connection.state is IDLE:
             # The response is unsolicited. If the connection were reused, it would be mistaken for
             # the response to the next attempt.
+            self.upstream.unsolicited_bytes(connection)
             return self.upstream.close(connection, "unasked answer")
         if connection.state is not BUSY:
             return
--- a/pierglade/proxy/state/upstream.py
+++ b/pierglade/proxy/state/upstream.py
@@ -161,6 +161,13 @@
                 self.downstream.disconnected(client, "client closed")
             self.attempts.withdraw(connection, Outcome.NOT_SENT)
 
+    def unsolicited_bytes(self, connection):
+        """Lets connections to this backend rest for longer, as it sends what no one asked for."""
+        backend = connection.backend
+        if self.step.now >= backend.sends_duplicates_until:
+            self.step.log("unsolicited_bytes", backend=backend.name)
+        backend.unsolicited_bytes_received(self.step.now)
+
     def release(self, connection, keep):
         """Makes a connection idle if it may be reused, or closes it."""
         backend = connection.backend
@@ -174,7 +181,9 @@
             connection.since = self.step.now
             if backend.connecting_count:
                 self.timers.schedule(
-                    self.step.now + backend.reuse_delay(), self._take_over_attempt, connection
+                    self.step.now + backend.rest_time(self.step.now),
+                    self._take_over_attempt,
+                    connection,
                 )
             self.timers.set_timer(
                 connection,
--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -25,6 +25,7 @@
     ResponseCompleted,
     ResponsePartReceived,
     ResponseReceived,
+    UnsolicitedBytesReceived,
     UpstreamClosed,
     UpstreamConnected,
 )
@@ -131,6 +132,7 @@
                 if self.responses.has_begun():
                     if self.connection.state is IDLE:
                         # Unsolicited bytes would be taken for the next response.
+                        self.handle_event(UnsolicitedBytesReceived(self.connection))
                         return self._report_closed(CloseCause.RESET, "unsolicited bytes while idle")
                     self.handle_event(
                         ResponsePartReceived(self.connection, self.responses.unsized_body_bytes())
@@ -217,9 +219,8 @@
         # The connection is not reused if the response arrived before the whole request was written,
         # as the rest of the request would follow. It is not reused either if bytes follow the
         # response, such as a duplicate: they would be taken for the response to the next attempt.
-        message.is_reusable = (
-            message.is_reusable and self.is_request_written and not self.responses.has_more()
-        )
+        is_followed = self._is_followed()
+        message.is_reusable = message.is_reusable and self.is_request_written and not is_followed
         self.is_reused, self.is_request_written = True, False
         self.handle_event(ResponseReceived(self.connection, message))
 
@@ -227,10 +228,18 @@
         body, self.body_stream = self.body_stream, None
         if body is not None:
             body.finish()
-        keep = message.is_reusable and self.is_request_written and not self.responses.has_more()
+        is_followed = self._is_followed()
+        keep = message.is_reusable and self.is_request_written and not is_followed
         self.is_reused, self.is_request_written = True, False
         self.handle_event(ResponseCompleted(self.connection, keep))
 
+    def _is_followed(self):
+        """Returns whether bytes follow the response that was read."""
+        is_followed = self.responses.has_more()
+        if is_followed:
+            self.handle_event(UnsolicitedBytesReceived(self.connection))
+        return is_followed
+
     def _handle_last_response(self):
         """Handles a response whose end is the end of the connection."""
         if self.body_stream is not None:
@@ -248,7 +257,10 @@
 
         Bytes that were read may still wait for their turn to be parsed.
         """
-        return self.responses.has_begun() or socket_io.is_readable(self.sock)
+        if self.responses.has_begun() or socket_io.unread_bytes(self.sock):
+            self.handle_event(UnsolicitedBytesReceived(self.connection))
+            return True
+        return socket_io.is_readable(self.sock)
 
     def _has_no_client(self):
         """Returns whether the client of the request to be written has disconnected.
