A draining node answers the requests that were read behind another one

Cause: each answer of a draining node was the last of its connection, and what the reader held behind it was discarded.

Change: it is the last one only if nothing has come behind its request, until 0.92 of the time to a SIGKILL (standby: 3 s). A client that becomes idle while the node drains is closed then.

--- a/pierglade/proxy/downstream.py
+++ b/pierglade/proxy/downstream.py
@@ -446,9 +446,17 @@
             and socket_io.unread_bytes(self.sock) > MAX_UNREAD_BYTES
         )
 
+    def has_more_input(self) -> bool:
+        """Returns whether the client has sent bytes behind the request that is in use."""
+        return self.requests.has_more() or socket_io.unread_bytes(self.sock) > 0
+
+    def _holds_input(self):
+        """Returns whether bytes were read and not handled yet."""
+        return self.requests.has_begun() or self.requests.has_more()
+
     def close_when_read(self, reason: str):
         """Closes the connection unless unhandled data has arrived."""
-        if not self.requests.has_begun() and not socket_io.is_readable(self.sock):
+        if not self._holds_input() and not socket_io.is_readable(self.sock):
             # No greenlet switch may happen between the check and the close: a request that arrived
             # in between would be lost.
             self.server.descriptor_release.close(self.sock)
--- a/pierglade/proxy/state/downstream.py
+++ b/pierglade/proxy/state/downstream.py
@@ -253,7 +253,7 @@
         # request.
         client.last = (
             client.last
-            or self.lifecycle.is_draining()
+            or (self.lifecycle.is_draining() and not self._has_sent_more(client))
             or (length is None and not chunked)
             or (
                 message is not None
@@ -271,6 +271,14 @@
         self.timers.set_timer(client, self.step.now + CLIENT_READ_TIMEOUT, self._reads_too_slowly)
         self.step.emit(SendResponse(client, head, body, chunked if source is not None else None))
 
+    def _has_sent_more(self, client):
+        """Returns whether requests behind the current one are to be answered by this process."""
+        return (
+            client.message is not None
+            and self.lifecycle.serves_pipelined()
+            and client.io.has_more_input()
+        )
+
     def _reads_too_slowly(self, client):
         if client.source is not None and not client.source.body_stream.buffered_bytes:
             # The client has read everything; the upstream connection has a timeout of its own.
@@ -293,6 +301,8 @@
             self.timers.set_timer(client, self.step.now + LINGER_TIMEOUT, self._linger_timed_out)
         else:
             self._become_idle(client)
+            if self.lifecycle.is_draining():
+                self.step.emit(CloseWhenRead(client, "stopping"))
 
     def _linger_timed_out(self, client):
         self.close(client, "answered last")
--- a/pierglade/proxy/state/lifecycle.py
+++ b/pierglade/proxy/state/lifecycle.py
@@ -28,6 +28,9 @@
 # Fraction of the time until the process may be killed in which all requests are answered: 3.1 s of
 # 3.7 s.
 RESPONSE_TIME_RATIO = 0.83
+# The same for requests that were read behind others: 3.4 s of 3.7 s, so that a client that sends on
+# and on does not keep the process. In standby, MAX_REQUEST_TIMEOUT takes its place.
+PIPELINED_TIME_RATIO = 0.92
 
 
 class Lifecycle:
@@ -43,6 +46,7 @@
         # ids of sent requests with the earlier process. Until then that one serves.
         self.listening = self.may_listen = sole_process
         self.stopped_at = None
+        self.serves_pipelined_until = 0  # while draining, see `serves_pipelined`
         self.standby = False  # set by operators; client connections are closed
         self.may_exit = self.exiting = False
         self.rejecting = False  # whether new requests are rejected, shortly before the exit
@@ -78,12 +82,20 @@
             pending=len(self.downstream.by_state[AWAITING_RESPONSE]),
         )
         if enabled:
+            self.serves_pipelined_until = self.step.now + MAX_REQUEST_TIMEOUT
             self._close_idle_clients()
 
     def is_draining(self):
-        """Returns whether clients are closed, after their next response at the latest."""
+        """Returns whether clients are closed, after their next response at the latest.
+
+        Clients that have sent more requests by then are closed after the last of these.
+        """
         return self.standby or self.stopped_at is not None
 
+    def serves_pipelined(self):
+        """Returns whether a client that is drained gets responses to all that it has sent."""
+        return self.step.now < self.serves_pipelined_until
+
     def sole_process(self):
         """Raises the descriptor limit: the process that served here before has ended."""
         self.descriptors.limit = self.descriptors.full_limit
@@ -115,7 +127,9 @@
             MAX_REQUEST_TIMEOUT,
             max(each.request_timeout for each in self.balancers.settings.request_classes),
         )
-        response_time = int(RESPONSE_TIME_RATIO * (LISTEN_AFTER_STOP + max_timeout))
+        time_left = LISTEN_AFTER_STOP + max_timeout
+        response_time = int(RESPONSE_TIME_RATIO * time_left)
+        self.serves_pipelined_until = self.step.now + int(PIPELINED_TIME_RATIO * time_left)
         self.timers.schedule(
             self.step.now + min(LISTEN_AFTER_STOP, response_time - 2 * ACCEPTED_READ_DELAY),
             self._close_listener,
--- a/tests/support/scene.py
+++ b/tests/support/scene.py
@@ -182,7 +182,10 @@
     """Stands in for a socket; only its name is printed."""
 
     def __init__(self, name):
-        self.name, self.client = name, None
+        self.name, self.client, self.has_more = name, None, False
+
+    def has_more_input(self):
+        return self.has_more
 
 
 class StateMachineHarness:
