A late response of discovery is waited for beside further requests for the list

Cause: where lists are pushed, each request for the whole list is given up after 0.15 s, whatever came before.

Change: the first late one stays open for up to 3.5 s beside the further ones. The list that comes first counts.

Tests: test_slow_discovery.

--- a/pierglade/proxy/discovery.py
+++ b/pierglade/proxy/discovery.py
@@ -22,6 +22,9 @@
 # Seconds. The discovery agent is local; together with RETRY_INTERVAL this is less than the smallest
 # grace period.
 RESPONSE_TIMEOUT = 0.15
+# Limit on the response to a request for a list that was not answered within RESPONSE_TIMEOUT: it is
+# waited for beside further requests, as a slow discovery answers none of them in less.
+LATE_RESPONSE_TIMEOUT_S = 3.5
 # A discovery service that is polled queues requests. It also answers requests that the client has
 # abandoned, so a shorter timeout would waste its work.
 POLLED_RESPONSE_TIMEOUT_S = 3.5
@@ -138,6 +141,8 @@
         self.server = server
         self.index = index
         self.sock = None
+        self.late_sock = None  # of the request for the list whose response is late
+        self.is_late_list_applied = False  # since the last request began
         self.stopped = False
         self.last_activity = 0.0  # when the watch last delivered data, or the last request began
         self.silent_since = None  # last activity before a watch fell silent; None: none did
@@ -148,9 +153,11 @@
         """Watches discovery until `stop` is called."""
         while not self.stopped:
             self.poll_requested.clear()
+            self.is_late_list_applied = False
             try:
                 if self.index is None:
                     self._read_list()
+                self.is_late_list_applied = False
                 self._watch()
             except (
                 OSError,
@@ -159,16 +166,20 @@
                 httptools.HttpParserError,
                 ValueError,
             ) as error:
-                if not isinstance(error, (OSError, DiscoveryUnavailableError)):
-                    self.index = None  # The unreadable data may have contained a change.
-                if not self.stopped:
-                    self.server.handle_event(
-                        DiscoveryLost(f"{type(error).__name__}: {error}", self._ticks_unobserved())
-                    )
+                if not self.is_late_list_applied:
+                    self._report_lost(error)
             finally:
                 self._close()
             self._wait()
 
+    def _report_lost(self, error):
+        if not isinstance(error, (OSError, DiscoveryUnavailableError)):
+            self.index = None  # The unreadable data may have contained a change.
+        if not self.stopped:
+            self.server.handle_event(
+                DiscoveryLost(f"{type(error).__name__}: {error}", self._ticks_unobserved())
+            )
+
     def _ticks_unobserved(self):
         """Returns for how long changes may have been missed, in ticks."""
         now = monotonic()
@@ -194,11 +205,18 @@
         """Requests the whole list next, as the changes received do not fit the version."""
         self.index = None
         self._close()
+        self._close_late()
 
     def stop(self):
         """Stops the client; data that it has already read is no longer reported."""
         self.stopped = True
         self._close()
+        self._close_late()
+
+    def _close_late(self):
+        if self.late_sock is not None:
+            socket_io.close_now(self.late_sock)
+            self.late_sock = None
 
     def _close(self):
         if self.sock is not None:
@@ -222,8 +240,10 @@
         sock.settimeout(max(RESPONSE_TIMEOUT, self.last_activity + timeout_s - monotonic()))
         return sock
 
-    def _report(self, line):
-        document = run_in_steps(document_reader.read_endpoint_list(line), 0)
+    def _parse(self, line):
+        return run_in_steps(document_reader.read_endpoint_list(line), 0)
+
+    def _report(self, document):
         if self.stopped:
             # Discovery has moved to another address while the document was parsed. The document
             # would be applied to the list of the new address.
@@ -238,8 +258,37 @@
             timeout_s, read_timeout_s = POLLED_RESPONSE_TIMEOUT_S, LIST_READ_TIMEOUT_S
         else:
             timeout_s = read_timeout_s = RESPONSE_TIMEOUT
-        sock = self._send_request(LIST_PATH, timeout_s)
-        reader = ListReader()
+        sock, reader = self._send_request(LIST_PATH, timeout_s), ListReader()
+        try:
+            body = self._receive_list(sock, reader, read_timeout_s)
+        except TimeoutError:
+            if not self.is_polled() and self.late_sock is None and not self.stopped:
+                self.sock, self.late_sock = None, sock
+                gevent.spawn(self._read_late_list, sock, reader)
+            raise
+        document = self._parse(body)
+        self._close()
+        if self.index is None:  # Else a late list was applied meanwhile.
+            self._report(document)
+        self._close_late()
+
+    def _read_late_list(self, sock, reader):
+        """Waits for the response to an earlier request, while further ones are sent."""
+        sock.settimeout(LATE_RESPONSE_TIMEOUT_S)
+        try:
+            document = self._parse(self._receive_list(sock, reader, LIST_READ_TIMEOUT_S))
+            if self.late_sock is sock and self.index is None:
+                self._report(document)
+                self.is_late_list_applied = True
+                self._close()  # Ends the request that is being waited for.
+        except (OSError, DiscoveryUnavailableError, ProtocolError, ValueError):
+            pass  # The requests that are sent meanwhile report why discovery is not available.
+        finally:
+            if self.late_sock is sock:
+                self._close_late()
+
+    @staticmethod
+    def _receive_list(sock, reader, read_timeout_s):
         while (message := reader.next()) is None:
             count = sock.recv_into(reader.writable())
             if not count:
@@ -250,8 +299,7 @@
             raise DiscoveryUnavailableError(
                 f"discovery rejected the request for the list: status {message.status}"
             )
-        self._report(bytes(message.body))
-        self._close()
+        return bytes(message.body)
 
     def _watch(self):
         sock = self._send_request(LIST_PATH + b"?follow=1&since=%d" % self.index, SILENCE_TIMEOUT)
@@ -270,5 +318,5 @@
             sock.settimeout(SILENCE_TIMEOUT)
             for line in lines:
                 if line.strip():
-                    self._report(line)
+                    self._report(self._parse(line))
         raise DiscoveryUnavailableError("the watch has ended")
