--- a/pierglade/proxy/upstream.py
+++ b/pierglade/proxy/upstream.py
@@ -257,10 +257,12 @@
 
         Bytes that were read may still wait for their turn to be parsed.
         """
-        if self.responses.has_begun() or socket_io.unread_bytes(self.sock):
+        has_begun = self.responses.has_begun()
+        if not has_begun and not socket_io.is_readable(self.sock):
+            return False
+        if has_begun or socket_io.unread_bytes(self.sock):
             self.handle_event(UnsolicitedBytesReceived(self.connection))
-            return True
-        return socket_io.is_readable(self.sock)
+        return True
 
     def _has_no_client(self):
         """Returns whether the client of the request to be written has disconnected.
