Two checks that could not fail look at what they are about

Need: test_config looked for logged events in `pierglade/net`, which is not there, and test_quota_changes for a field `shares` where the log has `quotas`.

Both are stricter than before.

--- a/tests/config/test_config.py
+++ b/tests/config/test_config.py
@@ -166,7 +166,8 @@
         self.assertEqual((ROOT / "docs/operate/log.md").read_text(), logged.page())
         logged_events = {
             event
-            for path in (ROOT / "pierglade" / "net").rglob("*.py")
-            for event in re.findall(r'note\("([a-z ]+)"', path.read_text())
+            for path in (ROOT / "pierglade" / "proxy").rglob("*.py")
+            for event in re.findall(r'\b(?:note|log)\(\s*"([a-z_]+)"', path.read_text())
         }
+        self.assertTrue(logged_events)
         self.assertEqual(logged_events - set(logged.EVENTS), set())
--- a/tests/reconfiguration/test_quota_changes.py
+++ b/tests/reconfiguration/test_quota_changes.py
@@ -478,7 +478,7 @@
         sender.start()
         text = self.write_file()
         loaded = self.reload()  # not the settings of the start: all are replaced
-        lines.append(f"all {'shares' in loaded[0]}")
+        lines.append(f"all {'quotas' in loaded[0]}")
         for count, quotas in enumerate(({"t7": 4}, {"t7": 4, "t9": 5, "t11": 6}, {})):
             self.write_file(**quotas)
             lines.append(f"{count}: {[line['quotas'] for line in self.reload()[:-1]]}")
