A line of a watch is reported as before, beside whole lists that are parsed already

Change: `_report` takes a line again; whole lists go to `_report_document`.

Measured: test_quota_changes (20) and test_slow_discovery pass.

--- a/pierglade/proxy/discovery.py
+++ b/pierglade/proxy/discovery.py
@@ -243,7 +243,10 @@
     def _parse(self, line):
         return run_in_steps(document_reader.read_endpoint_list(line), 0)
 
-    def _report(self, document):
+    def _report(self, line):
+        self._report_document(self._parse(line))
+
+    def _report_document(self, document):
         if self.stopped:
             # Discovery has moved to another address while the document was parsed. The document
             # would be applied to the list of the new address.
@@ -269,7 +272,7 @@
         document = self._parse(body)
         self._close()
         if self.index is None:  # Else a late list was applied meanwhile.
-            self._report(document)
+            self._report_document(document)
         self._close_late()
 
     def _read_late_list(self, sock, reader):
@@ -278,7 +281,7 @@
         try:
             document = self._parse(self._receive_list(sock, reader, LIST_READ_TIMEOUT_S))
             if self.late_sock is sock and self.index is None:
-                self._report(document)
+                self._report_document(document)
                 self.is_late_list_applied = True
                 self._close()  # Ends the request that is being waited for.
         except (OSError, DiscoveryUnavailableError, ProtocolError, ValueError):
@@ -318,5 +321,5 @@
             sock.settimeout(SILENCE_TIMEOUT)
             for line in lines:
                 if line.strip():
-                    self._report(self._parse(line))
+                    self._report(line)
         raise DiscoveryUnavailableError("the watch has ended")
